Read the configuration anew on SIGHUP and follow the new coordinator

Serve installed no handler (Serve.run); Follower had one address for good.

Checked: nothing else ended the process; the log ends with the drain's lines. The handler now reads the file in the signal's thread and posts the address, urgent, to the event thread; Follower leaves the old connection, a connect under way and a planned one, and follows from the last number heard.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -75,6 +75,14 @@
         });
     }
 
+    /** Follows a coordinator at another address, from the last number heard; from any thread. */
+    void follow(InetSocketAddress coordinator) {
+        loop.postUrgent(() -> {
+            LOG.info("SIGHUP: following the coordinator at " + coordinator + " from " + front.listIndex());
+            follower.follow(coordinator);
+        });
+    }
+
     InetSocketAddress address() {
         return acceptor.getLocalAddress();
     }
--- a/src/main/java/petrelplank/cli/Serve.java
+++ b/src/main/java/petrelplank/cli/Serve.java
@@ -4,6 +4,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.time.Instant;
+import java.util.logging.Logger;
 import org.kohsuke.args4j.Option;
 import petrelplank.settings.Addresses;
 import petrelplank.settings.Configuration;
@@ -11,6 +12,7 @@
 
 /** {@code serve}: one real front. */
 public final class Serve implements Command {
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
     private static final int UNUSABLE = 2;
 
     @Option(name = "--config", metaVar = "FILE", usage = "the configuration; else $EDGE_CONFIG")
@@ -31,6 +33,7 @@
         try {
             Configuration c = Configuration.read(new File(config));
             front = new RunningFront(c, Serve::unixUs);
+            Signals.on("HUP", () -> reload(front, new File(config)));
             front.open(listen == null ? c.listen() : Addresses.parse(listen));
         } catch (JsonProcessingException e) {
             return unusable(config + ": not JSON: " + e.getOriginalMessage());
@@ -42,6 +45,16 @@
         return 0;
     }
 
+    /** Guards the process: whatever is wrong with the new file, the front goes on with what it has. */
+    static void reload(RunningFront front, File file) {
+        try {
+            front.follow(Configuration.read(file).coordinator());
+        } catch (IOException | RuntimeException e) {
+            LOG.warning("SIGHUP: " + file + " can't be used, the old configuration stays: "
+                + String.valueOf(e.getMessage()).replace('\n', ' '));
+        }
+    }
+
     private static int unusable(String why) {
         System.err.println("petrelplank: " + why.replace('\n', ' '));
         return UNUSABLE;
--- a/src/main/java/petrelplank/coordinator/Follower.java
+++ b/src/main/java/petrelplank/coordinator/Follower.java
@@ -29,10 +29,12 @@
     private final EventLoop loop;
     private final Front front;
     private final NioSocketConnector connector;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     /** The connection in use; what an older one still says is passed over. */
     private Object current;
+    private ConnectFuture connecting;
     private IoSession session;
+    private EventLoop.Timer again;
     private long heardUs;
     private long breaks;
     private long breaksInRow;
@@ -53,26 +55,51 @@
         connector.setHandler(new Handler());
     }
 
-    /** Connects; from the event thread. */
+    /** Connects, and leaves what was open before; from the event thread. */
     public void start() {
+        leave();
         Object mine = new Object();
         current = mine;
         heardUs = loop.now();
-        ConnectFuture future = connector.connect(address, (s, f) -> s.setAttribute("key", mine));
-        future.addListener(f -> loop.postUrgent(() -> connected(mine, (ConnectFuture) f)));
-        watch(mine, future);
+        connecting = connector.connect(address, (s, f) -> s.setAttribute("key", mine));
+        connecting.addListener(f -> loop.postUrgent(() -> connected(mine, (ConnectFuture) f)));
+        watch(mine);
     }
 
-    private void watch(Object mine, ConnectFuture future) {
+    /**
+     * Follows at another address at once, from the last number heard; from the event thread.
+     *
+     * @param next the coordinator's new address
+     */
+    public void follow(InetSocketAddress next) {
+        address = next;
+        start();
+    }
+
+    /** Guards against a second connection beside the next one: whatever is open or planned ends. */
+    private void leave() {
+        current = null;
+        if (again != null) {
+            again.cancel();
+        }
+        if (connecting != null) {
+            connecting.cancel();
+        }
+        if (session != null) {
+            session.closeNow();
+            session = null;
+        }
+    }
+
+    private void watch(Object mine) {
         loop.at(loop.now() + SILENCE_US / 5, () -> {
             if (current != mine) {
                 return;
             }
             if (loop.now() - heardUs > SILENCE_US) {
-                future.cancel();
                 broken(mine, "silent");
             } else {
-                watch(mine, future);
+                watch(mine);
             }
         });
     }
@@ -92,18 +119,14 @@
         if (current != mine) {
             return;
         }
-        current = null;
+        leave();
         breaks++;
         breaksInRow++;
         if (breaksInRow % LOGGED_ONE_IN == 1) {
             LOG.warning("coordinator " + why + ", following again from " + front.listIndex() + ", " + breaks
                 + " so far");
         }
-        if (session != null) {
-            session.closeNow();
-            session = null;
-        }
-        loop.at(loop.now() + AGAIN_US, this::start);
+        again = loop.at(loop.now() + AGAIN_US, this::start);
     }
 
     private void told(Object mine, ListEvent event) {
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -43,6 +43,7 @@
     private Thread events;
     private FcgiClient client;
     private FakeServer.Line follow;
+    private Path file;
 
     @BeforeEach
     void start(@TempDir Path folder) throws IOException, InterruptedException {
@@ -50,7 +51,7 @@
         parent = new FakeServer();
         origin = new FakeServer();
         coordinator = new FakeServer();
-        Path file = folder.resolve("config.json");
+        file = folder.resolve("config.json");
         Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
             + "1024,\"memory_mb\":192},\"coordinator\":\"" + coordinator.address() + "\",\"known\":{\"index\":1,"
             + "\"updates\":[{\"index\":1,\"endpoints\":{\"instances\":[" + entry("c-1", cache, "edge-1", "box", "active")
@@ -201,6 +202,33 @@
         assertEquals("follow 2", coordinator.next().text());
     }
 
+    /** Without a handler the platform ends the process at SIGHUP. */
+    @Test
+    void signalRunsItsHandlerInsteadOfEndingTheProcess() throws IOException, InterruptedException {
+        CountDownLatch handled = new CountDownLatch(1);
+        Signals.on("HUP", handled::countDown);
+        new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start();
+        handled.await();
+    }
+
+    @Test
+    void newConfigurationMovesTheFollowerAndKeepsOpenRequests() throws IOException, InterruptedException {
+        ask(1, "aa", "media");
+        FakeServer.Line fetch = cache.next();
+        try (FakeServer next = new FakeServer()) {
+            String old = Files.readString(file);
+            Files.writeString(file, "{\"coordinator\":");
+            Serve.reload(front, file.toFile());
+            coordinatorTells("{\"index\":2,\"evict\":{\"shard\":17,\"unix_ms\":1}}");
+            Files.writeString(file, old.replace(coordinator.address(), next.address()));
+            Serve.reload(front, file.toFile());
+            assertEquals("follow 2", next.next().text());
+        }
+        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+        assertTrue(coordinator.quiet());
+    }
+
     @Test
     void drainAnswersWhatIsOpenAndThenEnds() throws IOException, InterruptedException {
         ask(1, "aa", "media");
