Close silent and idle client connections; at the limit the quietest makes room

Nothing ever closed an idle, silent or half-sent connection. Lines about bad clients are thinned to one in 25: they cost CPU at full speed.

--- a/src/main/java/petrelplank/client/Assembler.java
+++ b/src/main/java/petrelplank/client/Assembler.java
@@ -55,6 +55,11 @@
         count(-mine);
     }
 
+    /** Whether a request has begun and not ended. */
+    boolean inside() {
+        return !coming.isEmpty();
+    }
+
     private void count(long bytes) {
         mine += bytes;
         together.addAndGet(bytes);
--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -5,8 +5,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -29,6 +29,13 @@
     private static final long SHARE_OF_UNREAD = 1 << 20;
     /** Bytes of requests that are still coming in, over all connections. */
     private static final long MOST_COMING = 16L << 20;
+    /** A connection that brings nothing whole in this time, or leaves a request half sent, is closed. */
+    static final long SILENT_US = 2_000_000;
+    /** Clients close idle connections after 4 s; those that never do are closed after this. */
+    static final long IDLE_US = 5_000_000;
+    /** Bad clients send at full speed: a line for each would cost CPU and memory that good ones need. */
+    private static final int LOGGED_ONE_IN = 25;
+    private static final long SWEEP_US = 250_000;
     private static final String HEALTH = "/_health";
     private static final String INVOKE = "/invoke/";
 
@@ -36,12 +43,13 @@
     private final Front front;
     private final NioSocketAcceptor acceptor;
     private final int most;
-    private final AtomicInteger connections = new AtomicInteger();
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicLong coming = new AtomicLong();
     private volatile boolean ready;
     private long malformed;
     private long slow;
     private long crowded;
+    private long silent;
 
     /**
      * The clients' side.
@@ -67,6 +75,40 @@
      */
     public void listen(InetSocketAddress address) throws IOException {
         acceptor.bind(address);
+        loop.post(this::sweep);
+    }
+
+    /** Guards descriptors and memory against clients that say nothing, stop half way or keep what they don't use. */
+    private void sweep() {
+        long now = loop.now();
+        for (Connection c : connections) {
+            if (c.expired(now)) {
+                silent++;
+                c.session.closeNow();
+            }
+        }
+        loop.at(now + SWEEP_US, this::sweep);
+    }
+
+    /**
+     * Guards good clients against those that keep connections: at the limit the one that has been quiet longest
+     * makes room, and the new one itself is closed only where all others are owed an answer.
+     */
+    private void makeRoom(Connection added) {
+        Connection longest = added;
+        for (Connection c : connections) {
+            if (c.unused() && c.quietUs < longest.quietUs) {
+                longest = c;
+            }
+        }
+        connections.remove(longest);
+        longest.session.closeNow();
+        loop.post(() -> {
+            crowded++;
+            if (crowded % LOGGED_ONE_IN == 1) {
+                LOG.warning("more than " + most + " client connections, the quietest closed, " + crowded + " so far");
+            }
+        });
     }
 
     /**
@@ -90,20 +132,18 @@
      * @return the counts
      */
     public String counts() {
-        return "client connections " + connections.get() + ", malformed " + malformed + ", slow " + slow
-            + ", over the limit " + crowded;
+        return "client connections " + connections.size() + ", malformed " + malformed + ", slow " + slow
+            + ", over the limit " + crowded + ", silent or idle " + silent;
     }
 
     private final class Handler extends IoHandlerAdapter {
         @Override
         public void sessionCreated(IoSession session) {
-            session.setAttribute(Connection.class, new Connection(session));
-            if (connections.incrementAndGet() > most) {
-                session.closeNow();
-                loop.post(() -> {
-                    crowded++;
-                    LOG.warning("more than " + most + " client connections, one closed, " + crowded + " so far");
-                });
+            Connection added = new Connection(session);
+            session.setAttribute(Connection.class, added);
+            connections.add(added);
+            if (connections.size() > most) {
+                makeRoom(added);
             }
         }
 
@@ -114,8 +154,9 @@
 
         @Override
         public void sessionClosed(IoSession session) {
-            connections.decrementAndGet();
-            ((Connection) session.getAttribute(Connection.class)).closed();
+            Connection closed = (Connection) session.getAttribute(Connection.class);
+            connections.remove(closed);
+            closed.closed();
         }
 
         @Override
@@ -130,24 +171,51 @@
         private final RecordParser parser = new RecordParser();
         private final Assembler assembler = new Assembler(this, coming, MOST_COMING);
         private final Map<Integer, Asker> open = new ConcurrentHashMap<>();
+        /** When it last brought a request whole, or took the last answer it was owed; its start before that. */
+        private volatile long quietUs = loop.clock();
+        /** Whether anything came in whole yet. */
+        private volatile boolean used;
+        /** Since when a request is coming in; 0 while none is. */
+        private volatile long halfSinceUs;
 
         Connection(IoSession session) {
             this.session = session;
         }
 
+        /** Nothing is owed and nothing unsent, so that it may be closed. */
+        boolean unused() {
+            return open.isEmpty() && session.getScheduledWriteBytes() == 0;
+        }
+
+        boolean expired(long now) {
+            long half = halfSinceUs;
+            return unused() && (half > 0 && now - half > SILENT_US || now - quietUs > (used ? IDLE_US : SILENT_US));
+        }
+
         void received(IoBuffer bytes) {
             try {
                 parser.feed(bytes.buf(), assembler::take);
+                if (!parser.inside() && !assembler.inside()) {
+                    halfSinceUs = 0;
+                } else if (halfSinceUs == 0) {
+                    halfSinceUs = loop.clock();
+                }
             } catch (MalformedException e) {
                 session.closeNow();
                 loop.post(() -> {
                     malformed++;
-                    LOG.warning("malformed record from a client, connection closed: " + e.getMessage() + ", "
-                        + malformed + " so far");
+                    if (malformed % LOGGED_ONE_IN == 1) {
+                        LOG.warning("malformed record from a client, connection closed: " + e.getMessage() + ", "
+                            + malformed + " so far");
+                    }
                 });
             }
         }
 
+        long clock() {
+            return loop.clock();
+        }
+
         void closed() {
             assembler.close();
             open.keySet().forEach(this::abort);
@@ -157,6 +225,8 @@
         public void request(int id, boolean keep, Map<String, String> params, byte[] body) {
             Asker asker = new Asker(this, id, keep, params.getOrDefault("HTTP_X_REQUEST_ID", ""));
             open.put(id, asker);
+            used = true;
+            quietUs = loop.clock();
             String script = params.getOrDefault("SCRIPT_NAME", "");
             if (script.equals(HEALTH)) {
                 asker.answer(ready ? Answer.of(Answer.Kind.SERVED) : Answer.refused(0));
@@ -221,7 +291,9 @@
                 session.closeNow();
                 loop.post(() -> {
                     slow++;
-                    LOG.warning("a client does not read, connection closed, " + slow + " so far");
+                    if (slow % LOGGED_ONE_IN == 1) {
+                        LOG.warning("a client does not read, connection closed, " + slow + " so far");
+                    }
                 });
                 return;
             }
@@ -275,6 +347,7 @@
         @Override
         public void answer(Answer answer) {
             if (connection.open.remove(id, this)) {
+                connection.quietUs = connection.clock();
                 connection.write(RecordEncoder.answer(id, answer), keep);
             }
         }
--- a/src/main/java/petrelplank/client/RecordParser.java
+++ b/src/main/java/petrelplank/client/RecordParser.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Whether a record has begun and not ended. */
+    boolean inside() {
+        return headerLength > 0;
+    }
+
     private int word(int at) {
         return (header[at] & 0xff) << 8 | header[at + 1] & 0xff;
     }
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -8,7 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +23,7 @@
 /** The whole front on loopback sockets, against scripted peers. Time-outs here only end a test that has failed. */
 class LoopbackTest {
     private static final byte[] NOTHING = new byte[0];
+    private static final int SOCKETS = 60;
     private static final String SETTINGS = """
         {"balancers":1,"caps":{"cancel":true,"connect-timeout-us":400000,"conn-idle-us":15000000,"max-streams":100,
         "max-retry-after-us":2000000,"peer-messages":false,"probing":true,"retry-after":true,"second-copies":true,
@@ -44,6 +48,8 @@
     private FcgiClient client;
     private FakeServer.Line follow;
     private Path file;
+    /** Moves the front's clock on. */
+    private final AtomicLong laterUs = new AtomicLong();
 
     @BeforeEach
     void start(@TempDir Path folder) throws IOException, InterruptedException {
@@ -53,14 +59,14 @@
         coordinator = new FakeServer();
         file = folder.resolve("config.json");
         Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
-            + "1024,\"memory_mb\":192},\"coordinator\":\"" + coordinator.address() + "\",\"known\":{\"index\":1,"
+            + SOCKETS + ",\"memory_mb\":192},\"coordinator\":\"" + coordinator.address() + "\",\"known\":{\"index\":1,"
             + "\"updates\":[{\"index\":1,\"endpoints\":{\"instances\":[" + entry("c-1", cache, "edge-1", "box", "active")
             + "," + entry("p-1", parent, "north", "parent", "active") + ","
             + entry("o-1", origin, "north", "origin", "active") + "]}}]},\"settings\":" + SETTINGS + "}");
         Configuration c = Configuration.read(file.toFile());
         front = new RunningFront(c, () -> {
             Instant now = Instant.now();
-            return now.getEpochSecond() * 1_000_000 + now.getNano() / 1000;
+            return now.getEpochSecond() * 1_000_000 + now.getNano() / 1000 + laterUs.get();
         });
         front.open(new InetSocketAddress("127.0.0.1", 0));
         events = new Thread(front::run);
@@ -202,6 +208,46 @@
         assertEquals("follow 2", coordinator.next().text());
     }
 
+    @Test
+    void silentAndHalfSentRequestsAreClosedInTimeAndOwedAnswersAreNot() throws IOException, InterruptedException {
+        ask(1, "aa", "media");
+        FakeServer.Line fetch = cache.next();
+        try (FcgiClient silent = new FcgiClient(front.address()); FcgiClient half = new FcgiClient(front.address());
+             FcgiClient idle = new FcgiClient(front.address())) {
+            half.raw(new byte[] {1, 1, 0, 1, 0, 8, 0, 0, 0, 1});
+            idle.ask(1, "/_health", NOTHING);
+            idle.answer();
+            laterUs.addAndGet(2_100_000);
+            assertEquals("closed", silent.answer());
+            assertEquals("closed", half.answer());
+            idle.ask(2, "/_health", NOTHING);
+            assertTrue(idle.answer().startsWith("2 Status: 200"));
+            laterUs.addAndGet(5_100_000);
+            assertEquals("closed", idle.answer());
+        }
+        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+    }
+
+    /** Clients that ask once and stay must not keep others out, nor cost those that are owed an answer theirs. */
+    @Test
+    void quietestConnectionMakesRoomAtTheLimit() throws IOException, InterruptedException {
+        ask(1, "aa", "media");
+        FakeServer.Line fetch = cache.next();
+        List<FcgiClient> kept = new ArrayList<>();
+        for (int i = 0; i < SOCKETS; i++) {
+            kept.add(new FcgiClient(front.address()));
+            kept.get(i).ask(1, "/_health", NOTHING);
+            assertTrue(kept.get(i).answer().startsWith("1 Status: 200"));
+        }
+        assertEquals("closed", kept.get(0).answer());
+        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+        for (FcgiClient one : kept) {
+            one.close();
+        }
+    }
+
     /** Without a handler the platform ends the process at SIGHUP. */
     @Test
     void signalRunsItsHandlerInsteadOfEndingTheProcess() throws IOException, InterruptedException {
