Spread requests over up to eight connections a server; end one whose answer stops short

A probe in ServerPool.lost showed 7 to 31 requests open on each connection that one malformed answer ended, followed at once by "ejected" of that cache: ServerPool.choose opened a second connection only where the first carried 100.

Doubles and unknown ids (200) are passed over and do no harm.

Now a further connection is made where the least used carries two, up to eight a server and half the descriptors.

--- a/src/main/java/petrelplank/server/LineParser.java
+++ b/src/main/java/petrelplank/server/LineParser.java
@@ -54,6 +54,11 @@
         }
     }
 
+    /** Whether an answer has begun and not ended. */
+    boolean inside() {
+        return body != null || lineLength > 0;
+    }
+
     private void line(ByteBuffer in) {
         while (in.hasRemaining()) {
             byte b = in.get();
--- a/src/main/java/petrelplank/server/Server.java
+++ b/src/main/java/petrelplank/server/Server.java
@@ -9,6 +9,8 @@
     final String id;
     final InetSocketAddress address;
     final List<ServerConnection> connections = new ArrayList<>(2);
+    /** Connections lost in a row, with nothing heard between, whose commands were sent again on a new one. */
+    int renewed;
 
     Server(String id, InetSocketAddress address) {
         this.id = id;
--- a/src/main/java/petrelplank/server/ServerConnection.java
+++ b/src/main/java/petrelplank/server/ServerConnection.java
@@ -31,6 +31,10 @@
     private final int streams;
     private long queuedBytes;
     EventLoop.Timer connectTimer;
+    /** Bytes read in all, where an answer has begun and not ended; else 0. Written by the I/O thread. */
+    volatile long insideAt;
+    private long insideSeen;
+    private int insideSweeps;
 
     ServerConnection(Server server, int streams, long createdUs) {
         this.server = server;
@@ -52,9 +56,15 @@
         return open.isEmpty();
     }
 
-    boolean holds(Attempt attempt) {
-        Open held = open.get(attempt.fetch().id());
-        return held != null && held.attempt() == attempt;
+    /**
+     * Whether an answer has stood half read, with no byte more, over a number of sweeps. Sweeps are counted, not
+     * time: a process that was held up itself must not take the bytes it has not read yet for missing.
+     */
+    boolean stuck(int sweeps) {
+        long at = insideAt;
+        insideSweeps = at > 0 && at == insideSeen ? insideSweeps + 1 : 0;
+        insideSeen = at;
+        return insideSweeps >= sweeps;
     }
 
     void connected(IoSession made, long now) {
--- a/src/main/java/petrelplank/server/ServerPool.java
+++ b/src/main/java/petrelplank/server/ServerPool.java
@@ -1,10 +1,13 @@
 package petrelplank.server;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.logging.Logger;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -25,7 +28,18 @@
  */
 public final class ServerPool implements Servers {
     private static final Logger LOG = Logger.getLogger(ServerPool.class.getName());
-    private static final int MOST_PER_SERVER = 4;
+    /**
+     * One spoilt answer or reset ends all that is open on its connection, so that few share one: a further one is
+     * made where the least used carries this many, up to the most for a server.
+     */
+    private static final int FEW = 2;
+    private static final int MOST_PER_SERVER = 8;
+    /** An answer of which nothing more comes over so many sweeps has stopped short; 36 ms were seen on good days. */
+    private static final int STUCK_SWEEPS = 4;
+    private static final long SWEEP_US = 75_000;
+    /** Connections lost in a row before a command was written: so many are made anew, then the server is at fault. */
+    private static final int MOST_RENEWED = 3;
+    private static final int LOGGED_ONE_IN = 25;
 
     /**
      * Limits on connections.
@@ -42,8 +56,11 @@
     private final NioSocketConnector connector;
     private final Limits limits;
     private final Map<String, Server> servers = new HashMap<>();
-    private int connections;
+    private final Set<ServerConnection> connections = new LinkedHashSet<>();
+    /** Where each attempt is that is out: its server may have left the list meanwhile. */
+    private final Map<Attempt, ServerConnection> carriers = new HashMap<>();
     private long malformed;
+    private long stuck;
     private long unknown;
 
     /**
@@ -62,6 +79,25 @@
         this.connector = connector;
         this.limits = limits;
         connector.setHandler(new Handler(loadFields));
+        loop.post(this::sweep);
+    }
+
+    /**
+     * Guards what is open on a connection against an answer on it that stops short: nothing behind it can be read
+     * any more, while the connection stays open.
+     */
+    private void sweep() {
+        for (ServerConnection c : List.copyOf(connections)) {
+            if (c.stuck(STUCK_SWEEPS)) {
+                stuck++;
+                if (stuck % LOGGED_ONE_IN == 1) {
+                    LOG.warning("an answer from " + c.server.id + " stopped short, connection closed, " + stuck
+                        + " so far");
+                }
+                c.close();
+            }
+        }
+        loop.at(loop.now() + SWEEP_US, this::sweep);
     }
 
     @Override
@@ -90,14 +126,10 @@
     private void retire(ServerConnection c) {
         c.retiring = true;
         if (c.idle()) {
-            close(c);
+            c.close();
         }
     }
 
-    private void close(ServerConnection c) {
-        c.close();
-    }
-
     @Override
     public void fetch(Attempt attempt) {
         Server server = servers.get(attempt.server());
@@ -107,6 +139,7 @@
             loop.post(() -> end(attempt, status));
             return;
         }
+        carriers.put(attempt, best);
         best.send(attempt, loop.now());
     }
 
@@ -122,7 +155,10 @@
                 best = c;
             }
         }
-        if (best == null && server.connections.size() < MOST_PER_SERVER && connections < limits.most()) {
+        // One that takes nothing new must not keep a fresh one out: it closes once nothing is open on it.
+        long taking = server.connections.stream().filter(c -> !c.retiring).count();
+        boolean full = best == null || best.load() >= FEW && connections.size() < limits.most() / 2;
+        if (full && taking < MOST_PER_SERVER && connections.size() < limits.most()) {
             best = connect(server);
         }
         return best;
@@ -131,46 +167,56 @@
     private ServerConnection connect(Server server) {
         ServerConnection c = new ServerConnection(server, limits.streams(), loop.now());
         server.connections.add(c);
-        connections++;
+        connections.add(c);
         ConnectFuture future = connector.connect(server.address,
             (session, f) -> session.setAttribute(ServerConnection.class, c));
-        future.addListener((IoFutureListener<ConnectFuture>) f ->
-            loop.post(() -> connected(c, f.isConnected() ? f.getSession() : null)));
+        future.addListener((IoFutureListener<ConnectFuture>) f -> loop.post(() -> {
+            if (f.isConnected()) {
+                connected(c, f.getSession());
+            } else {
+                // A refusal is the server's own word; a reset on the way is not.
+                lost(c, !(f.getException() instanceof ConnectException));
+            }
+        }));
         c.connectTimer = loop.at(loop.now() + limits.connectUs(), () -> {
             future.cancel();
-            lost(c);
+            lost(c, false);
         });
         return c;
     }
 
     private void connected(ServerConnection c, IoSession session) {
         c.connectTimer.cancel();
-        if (session == null || !c.server.connections.contains(c)) {
-            lost(c);
-            if (session != null) {
-                session.closeNow();
-            }
+        if (!connections.contains(c)) {
+            session.closeNow();
             return;
         }
         c.connected(session, loop.now());
         if (c.retiring && c.idle()) {
-            close(c);
+            c.close();
         }
     }
 
-    /** A connection was not made, or has closed. Only the first word of it counts. */
-    private void lost(ServerConnection c) {
-        if (!c.server.connections.remove(c)) {
+    /**
+     * A connection was not made, or has closed. Only the first word of it counts.
+     *
+     * @param reset whether that says nothing of the server: then what was never written goes out on a new one
+     */
+    private void lost(ServerConnection c, boolean reset) {
+        if (!connections.remove(c)) {
             return;
         }
-        connections--;
+        c.server.connections.remove(c);
         c.connectTimer.cancel();
-        for (ServerConnection.Open held : c.drop()) {
+        List<ServerConnection.Open> all = c.drop();
+        all.forEach(held -> carriers.remove(held.attempt()));
+        boolean renew = reset && ++c.server.renewed <= MOST_RENEWED;
+        for (ServerConnection.Open held : all) {
             if (c.written(held)) {
                 end(held.attempt(), Status.RESET);
-            } else if (c.reached()) {
-                // Guards a good server against being taken for dead: its close of an idle connection crossed a
-                // command of which nothing was written, so nothing ran; a new connection tells how it is.
+            } else if (renew) {
+                // Guards a good server against being taken for dead: a reset or its close of an idle connection
+                // crossed a command of which nothing was written, so nothing ran; a new one tells how it is.
                 fetch(held.attempt());
             } else {
                 end(held.attempt(), Status.CONNECT_FAILED);
@@ -180,16 +226,18 @@
 
     private void answered(ServerConnection c, List<ServerAnswer> answers) {
         c.heardUs = loop.now();
+        c.server.renewed = 0;
         for (ServerAnswer answer : answers) {
             Attempt attempt = c.answered(answer.id());
             if (attempt == null) {
                 unknown++;
             } else {
+                carriers.remove(attempt);
                 relay.ended(attempt, answer);
             }
         }
         if (c.retiring && c.idle()) {
-            close(c);
+            c.close();
         }
     }
 
@@ -199,21 +247,17 @@
 
     @Override
     public void abort(Attempt attempt) {
-        Server server = servers.get(attempt.server());
-        if (server == null) {
+        ServerConnection c = carriers.remove(attempt);
+        if (c == null) {
             return;
         }
-        for (ServerConnection c : List.copyOf(server.connections)) {
-            if (c.holds(attempt)) {
-                c.abort(attempt);
-                // Guards against a machine that vanished: its open connections stay silent for ever.
-                if (c.heardUs < attempt.sentUs() && loop.now() - attempt.sentUs() > limits.connectUs()) {
-                    c.retiring = true;
-                }
-                if (c.retiring && c.idle()) {
-                    close(c);
-                }
-            }
+        c.abort(attempt);
+        // Guards against a machine that vanished: its open connections stay silent for ever.
+        if (c.heardUs < attempt.sentUs() && loop.now() - attempt.sentUs() > limits.connectUs()) {
+            c.retiring = true;
+        }
+        if (c.retiring && c.idle()) {
+            c.close();
         }
     }
 
@@ -223,7 +267,8 @@
      * @return the counts
      */
     public String counts() {
-        return "server connections " + connections + ", malformed " + malformed + ", unasked answers " + unknown;
+        return "server connections " + connections.size() + ", malformed " + malformed + ", stopped short " + stuck
+            + ", unasked answers " + unknown;
     }
 
     /** MINA's side: parses, and posts typed values to the event thread. */
@@ -243,14 +288,18 @@
         public void messageReceived(IoSession session, Object message) {
             List<ServerAnswer> answers = new ArrayList<>();
             ServerConnection c = (ServerConnection) session.getAttribute(ServerConnection.class);
+            LineParser parser = (LineParser) session.getAttribute(LineParser.class);
             try {
-                ((LineParser) session.getAttribute(LineParser.class)).feed(((IoBuffer) message).buf(), answers::add);
+                parser.feed(((IoBuffer) message).buf(), answers::add);
+                c.insideAt = parser.inside() ? session.getReadBytes() : 0;
             } catch (MalformedException e) {
                 session.closeNow();
                 loop.post(() -> {
                     malformed++;
-                    LOG.warning("malformed answer from " + c.server.id + ", connection closed: " + e.getMessage()
-                        + ", " + malformed + " so far");
+                    if (malformed % LOGGED_ONE_IN == 1) {
+                        LOG.warning("malformed answer from " + c.server.id + ", connection closed: "
+                            + e.getMessage() + ", " + malformed + " so far");
+                    }
                 });
             }
             if (!answers.isEmpty()) {
@@ -261,7 +310,7 @@
         @Override
         public void sessionClosed(IoSession session) {
             ServerConnection c = (ServerConnection) session.getAttribute(ServerConnection.class);
-            loop.post(() -> lost(c));
+            loop.post(() -> lost(c, true));
         }
 
         @Override
--- a/src/test/java/petrelplank/server/FakeServer.java
+++ b/src/test/java/petrelplank/server/FakeServer.java
@@ -36,6 +36,7 @@
 
     private final ServerSocket listener;
     private final BlockingQueue<Line> lines = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
 
     /** Listens on a free port. */
     public FakeServer() throws IOException {
@@ -72,6 +73,7 @@
         } catch (IOException e) {
             // reset or closed by the test
         }
+        ended.add(socket);
     }
 
     /** Where it listens. */
@@ -88,6 +90,11 @@
         return line;
     }
 
+    /** The next connection that has ended. */
+    public Socket ended() throws InterruptedException {
+        return ended.poll(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
     /** Whether no line is waiting. */
     public boolean quiet() {
         return lines.isEmpty();
