Count attempts reset together on one connection as one failure of the server

Seen on bad peers: each malformed answer was followed in the same millisecond by "ejected" of a good cache. A broken connection gives RESET for all that was out on it, and Brain.judge counted each, so that three made an ejection.

Ruled out: that the ejected caches were sick; each returned at its first trial, and spoilt answers come from all alike. Now resets of attempts sent before the last break of that server are passed over; three breaks in a row still eject, as do refused connections, so a dead process is left as fast as before (it refuses the next connection).

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -805,6 +805,13 @@
             }
             case CONNECT_FAILED -> failed(t.node, now, true, t.trial);
             case FULL, MISS -> quickestUs = Math.min(quickestUs, Math.max(1, o.latencyUs()));
+            case RESET -> {
+                // Guards good servers: a connection that breaks ends all that is out on it: one failure.
+                if (t.sentUs > t.node.brokenUs || t.trial) {
+                    t.node.brokenUs = now;
+                    failed(t.node, now, false, t.trial);
+                }
+            }
             default -> {
                 if (!source && !r.silent) {
                     failed(t.node, now, false, t.trial);
--- a/src/main/java/petrelplank/decision/Node.java
+++ b/src/main/java/petrelplank/decision/Node.java
@@ -20,6 +20,8 @@
     long trialAtUs;
     long pauseUs;
     boolean trialOut;
+    /** When attempts at it were last reset. */
+    long brokenUs;
     /** When it last answered an attempt of this gateway. */
     long heardUs;
     double outWorkUs;
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -119,6 +119,27 @@
         assertEquals(1, trials);
     }
 
+    /** One spoilt answer or reset ends all that is out on a connection, and is no sign of a sick cache. */
+    @Test
+    void attemptsResetTogetherAreOneFailure() {
+        for (int i = 0; i < 10; i++) {
+            host.ask(1);
+        }
+        String cache = host.last().server();
+        host.now += 50 * MS;
+        for (int i = 0; i < 10; i++) {
+            host.router.outcome(host.now, new Outcome("r" + i, 0, Status.RESET, 50 * MS, false, Note.NONE, 0, null));
+        }
+        assertEquals(List.of(), host.lines);
+        for (int i = 0; i < 2; i++) {
+            host.now += 50 * MS;
+            String id = host.ask(1);
+            assertEquals(cache, host.last().server());
+            host.end(id, Status.RESET, Note.NONE, 50 * MS);
+        }
+        assertEquals(1, host.lines.size(), host.lines.toString());
+    }
+
     @Test
     void coldCacheIsSentNoMoreThanItsBudget() {
         host.change(cache("a", host.now));
