Send past a lagging limit where the cache's own report shows room

A probe in Brain.giveUp showed them crowded at limits of 21 to 25 while the caches reported 21 to 31 requests in hand of the 28 that fit, with two of three gateways away: each limit is one gateway's share, and grows by one in 35 good answers.

Ruled out: retry tokens (18 to 20 of 20), the link (0.3 to 0.8), cold budgets (none), the origin's share (1). Brain.edge now also takes a cache whose report, plus what this gateway has added since the report was refreshed, is under its weight. The report's age is told by its value, which changes with each refresh.

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -313,15 +313,24 @@
             if (!affords(node, classWorkUs[r.typeIndex], now)) {
                 continue;
             }
-            r.crowded |= !node.limit.free(r);
+            boolean free = node.limit.free(r) || hasRoom(node);
+            r.crowded |= !free;
             double load = node.outWorkUs / node.weight;
-            if (node.limit.free(r) && (best == null || load < best.outWorkUs / best.weight)) {
+            if (free && (best == null || load < best.outWorkUs / best.weight)) {
                 best = node;
             }
         }
         return best;
     }
 
+    /**
+     * Whether a cache's last report, and what we added since, show that all it holds fits at full pace.
+     * Guards against limits that lag: each is one gateway's share, and gateways come and go.
+     */
+    private boolean hasRoom(Node n) {
+        return n.inHand >= 0 && n.inHand + Math.max(0, n.limit.out - n.outAtReport) < n.weight;
+    }
+
     /** Counts a request for an object, ageing all counts by half every so often. */
     private void count(long now, long key) {
         if (now - countsHalvedUs > 2 * windowUs) {
@@ -769,7 +778,11 @@
         if (load == null || n.role != Role.EDGE) {
             return;
         }
-        n.inHand = inHandAt >= 0 && inHandAt < load.length ? load[inHandAt] : -1;
+        double inHand = inHandAt >= 0 && inHandAt < load.length ? load[inHandAt] : -1;
+        if (inHand != n.inHand) {
+            n.inHand = inHand;
+            n.outAtReport = n.limit.out;
+        }
         linkUse = linkUseAt >= 0 && linkUseAt < load.length ? load[linkUseAt] : -1;
     }
 
--- a/src/main/java/petrelplank/decision/Node.java
+++ b/src/main/java/petrelplank/decision/Node.java
@@ -27,6 +27,8 @@
     double outWorkUs;
     /** Requests in hand as last reported; -1 before, and where it is not told. */
     double inHand = -1;
+    /** Our attempts out when that report first came; later answers repeat it until it is refreshed. */
+    int outAtReport;
     final Brain.Limit limit;
     /** Fill time over sending time of late, for parents. */
     double stretch = 1;
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -377,6 +377,25 @@
         return servers;
     }
 
+    /** When other gateways stop, their clients come here, and limits that lag refused what the caches had room for. */
+    @Test
+    void reportOfRoomCountsMoreThanALimitThatLags() {
+        assertTrue(sentAtOnceAfterAReportOf(2) >= 40);
+        assertTrue(sentAtOnceAfterAReportOf(70) < 25);
+    }
+
+    private static int sentAtOnceAfterAReportOf(double inHand) {
+        Recorder told = new Recorder(Recorder.settings(Router.Weights.ROUGH, Router.Notes.ALL, Recorder.allowed(), 2,
+            List.of("concurrent", "x0", "x1")));
+        told.router.roster(told.now, true, List.of(new Member("a", "office", "box", 0, State.UP, 60, 0)));
+        told.end(told.ask(1), Status.OK, Note.HIT, 100 * MS, new double[] {inHand, 0.5, 0.5});
+        int before = told.sent.size();
+        for (int i = 0; i < 50; i++) {
+            told.ask(i);
+        }
+        return told.sent.size() - before;
+    }
+
     /** A limit that a jam had sunk under what its cache fits refused a tenth for ten seconds after the jam. */
     @Test
     void limitSinksNoFurtherThanWhatTheCacheFits() {
