Take the time to answer all after SIGTERM from the settings' deadlines

Read in the code: RunningFront.ANSWER_ALL_US was 3.5 s whatever the settings, while SIGKILL may come at the longest deadline (counted as 3 s at most) plus 0.7 s, which is 1.6 s where deadlines are scaled to 0.9 s. Now 0.2 s before that time. The test takes the time from settings.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -12,6 +12,7 @@
 import petrelplank.client.ClientAcceptor;
 import petrelplank.coordinator.EventDecoder;
 import petrelplank.coordinator.Follower;
+import petrelplank.decision.Router.ServiceClass;
 import petrelplank.front.EventLoop;
 import petrelplank.front.Front;
 import petrelplank.server.ServerPool;
@@ -24,8 +25,11 @@
     /** After SIGTERM connections come for up to 400 ms and requests for 200 ms more; both counted generously. */
     private static final long LISTEN_ON_US = 600 * MS;
     private static final long TAKE_ON_US = 900 * MS;
-    /** SIGKILL comes no earlier than 3.7 s after SIGTERM: all is answered before. */
-    private static final long ANSWER_ALL_US = 3_500 * MS;
+    /** SIGKILL comes so long after the longest deadline, counted from SIGTERM; longer ones count as the most. */
+    private static final long KILL_AFTER_US = 700 * MS;
+    private static final long MOST_DEADLINE_US = 3_000 * MS;
+    /** All is answered so long before SIGKILL. */
+    private static final long KILL_MARGIN_US = 200 * MS;
     private static final long FLUSH_US = 50 * MS;
     private static final long LEAST_CONNECT_US = 50 * MS;
     private static final int MOST_OPEN = 1024;
@@ -35,6 +39,7 @@
     private static final int MOST_READ_BUFFER = 65_536;
 
     private final EventLoop loop;
+    private final long answerAllUs;
     private final Front front;
     private final Follower follower;
     private final ClientAcceptor clients;
@@ -47,6 +52,8 @@
     /** Puts the parts together and knows the list, but opens nothing yet. */
     RunningFront(Configuration c, LongSupplier clock) {
         loop = new EventLoop(clock);
+        long longest = c.settings().classes().stream().mapToLong(ServiceClass::deadlineUs).max().orElse(0);
+        answerAllUs = Math.min(MOST_DEADLINE_US, longest) + KILL_AFTER_US - KILL_MARGIN_US;
         toServers.getSessionConfig().setTcpNoDelay(true);
         toServers.getSessionConfig().setReadBufferSize(READ_BUFFER);
         toServers.getSessionConfig().setMaxReadBufferSize(MOST_READ_BUFFER);
@@ -103,14 +110,14 @@
     /** Takes and answers what still comes, then runs {@code ended}; the longest that takes, in milliseconds. */
     long drain(Runnable ended) {
         long from = loop.clock();
-        long latest = from + ANSWER_ALL_US + FLUSH_US;
+        long latest = from + answerAllUs + FLUSH_US;
         loop.postUrgent(() -> {
             LOG.info("SIGTERM: answering what still comes; so far " + front.counts() + "; " + clients.counts() + "; "
                 + pool.counts());
             clients.ready(false);
-            front.closeAt(from + ANSWER_ALL_US);
+            front.closeAt(from + answerAllUs);
             loop.at(from + LISTEN_ON_US, clients::stopListening);
-            loop.at(from + TAKE_ON_US, () -> endWhenDone(latest, ended));
+            loop.at(from + Math.min(TAKE_ON_US, answerAllUs), () -> endWhenDone(latest, ended));
         });
         return (latest - from + 2 * FLUSH_US) / MS;
     }
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -317,6 +317,16 @@
         assertTrue(coordinator.quiet());
     }
 
+    /** Deadlines differ by site, and SIGKILL comes by the longest: at most 3 s, and 0.7 s more. */
+    @Test
+    void drainEndsBeforeTheKillThatTheSettingsTell() throws IOException {
+        assertTrue(front.drain(() -> { }) <= 3_700);
+        Files.writeString(file, Files.readString(file).replace("\"deadline-us\":60000000", "\"deadline-us\":900000"));
+        RunningFront shorter = new RunningFront(Configuration.read(file.toFile()), () -> 0);
+        assertTrue(shorter.drain(() -> { }) <= 1_600);
+        shorter.close();
+    }
+
     @Test
     void drainAnswersWhatIsOpenAndThenEnds() throws IOException, InterruptedException {
         ask(1, "aa", "media");
