Check each field of a request against the protocol, and cap what a connection opens

Read beside PROTOCOL, each confirmed by a test: X-Timeout-Ms near 2^63/1000 overflowed the deadline (ClientAcceptor.decode, TakeIn.take); a long one held its place for as long as it said; X-Shard had no upper bound; X-N took signs; ids of any length and unknown classes went on to the router, which refused the latter as if trying again could help; CONTENT_LENGTH was never compared; a connection could have any number open (64 coming in). Now status 400 at once, 32 open on a connection (OVERLOADED beyond), and waits capped by the class's deadline.

--- a/src/main/java/petrelplank/client/Assembler.java
+++ b/src/main/java/petrelplank/client/Assembler.java
@@ -9,7 +9,8 @@
 final class Assembler {
     static final int LONGEST_PARAMS = 16_384;
     static final int LONGEST_BODY = 262_144;
-    static final int MOST_COMING = 64;
+    /** Requests on one connection, coming in or owed an answer. */
+    static final int MOST_OPEN = 32;
 
     /** Hears of what is whole. */
     interface Listener {
@@ -27,6 +28,9 @@
 
         /** Whether an answer is still owed for an id. */
         boolean open(int id);
+
+        /** How many answers are owed. */
+        int owed();
     }
 
     private static final class Coming {
@@ -120,7 +124,7 @@
         boolean keep = (b[2] & Record.KEEP_CONN) != 0;
         if (((b[0] & 0xff) << 8 | b[1] & 0xff) != Record.RESPONDER) {
             listener.declined(r.id(), Record.UNKNOWN_ROLE, keep);
-        } else if (coming.size() >= MOST_COMING || together.get() > mostTogether) {
+        } else if (coming.size() + listener.owed() >= MOST_OPEN || together.get() > mostTogether) {
             listener.declined(r.id(), Record.OVERLOADED, keep);
         } else {
             Coming c = new Coming();
--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -36,6 +36,7 @@
     /** Bad clients send at full speed: a line for each would cost CPU and memory that good ones need. */
     private static final int LOGGED_ONE_IN = 25;
     private static final long SWEEP_US = 250_000;
+    private static final int MOST_DIGITS = 9;
     private static final String HEALTH = "/_health";
     private static final String INVOKE = "/invoke/";
 
@@ -232,7 +233,7 @@
                 asker.answer(ready ? Answer.of(Answer.Kind.SERVED) : Answer.refused(0));
                 return;
             }
-            ClientRequest asked = decode(asker.requestId, script, params, body);
+            ClientRequest asked = decode(params, body);
             if (asked == null) {
                 asker.answer(Answer.of(Answer.Kind.BAD_REQUEST));
                 return;
@@ -254,6 +255,11 @@
             return open.containsKey(id);
         }
 
+        @Override
+        public int owed() {
+            return open.size();
+        }
+
         @Override
         public void declined(int id, int status, boolean keep) {
             write(RecordEncoder.end(id, status), keep);
@@ -271,7 +277,7 @@
 
         private byte[] values(Record record) {
             Map<String, String> known = Map.of("FCGI_MAX_CONNS", Integer.toString(most), "FCGI_MAX_REQS",
-                Integer.toString(most * Assembler.MOST_COMING), "FCGI_MPXS_CONNS", "1");
+                Integer.toString(most * Assembler.MOST_OPEN), "FCGI_MPXS_CONNS", "1");
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             for (String name : Params.decode(record.content()).keySet()) {
                 if (known.containsKey(name)) {
@@ -304,21 +310,31 @@
         }
     }
 
-    private static ClientRequest decode(String id, String script, Map<String, String> params, byte[] body) {
-        if (!script.startsWith(INVOKE)) {
-            return null;
-        }
+    /** The request that the parameters make; null where they make none. */
+    static ClientRequest decode(Map<String, String> params, byte[] body) {
+        String script = params.getOrDefault("SCRIPT_NAME", "");
         try {
-            String mine = params.get("HTTP_X_MINE");
-            return new ClientRequest(id, Math.multiplyExact(Long.parseLong(params.get("HTTP_X_TIMEOUT_MS")), 1000L),
-                script.substring(INVOKE.length()), params.getOrDefault("HTTP_X_OBJECT", ""),
-                Long.parseLong(params.getOrDefault("HTTP_X_N", "0")),
-                Integer.parseInt(params.getOrDefault("HTTP_X_SHARD", "0")), bare(mine), body);
-        } catch (NumberFormatException | ArithmeticException e) {
+            String length = params.getOrDefault("CONTENT_LENGTH", "");
+            if (!script.startsWith(INVOKE) || !length.isEmpty() && number(length) != body.length) {
+                return null;
+            }
+            return new ClientRequest(params.getOrDefault("HTTP_X_REQUEST_ID", ""),
+                number(params.getOrDefault("HTTP_X_TIMEOUT_MS", "")) * 1000L, script.substring(INVOKE.length()),
+                params.getOrDefault("HTTP_X_OBJECT", ""), number(params.getOrDefault("HTTP_X_N", "")),
+                number(params.getOrDefault("HTTP_X_SHARD", "")), bare(params.get("HTTP_X_MINE")), body);
+        } catch (NumberFormatException e) {
             return null;
         }
     }
 
+    /** A figure that no arithmetic here overflows: digits alone, and no more than a number of 32 bits has for sure. */
+    private static int number(String text) {
+        if (text.isEmpty() || text.length() > MOST_DIGITS || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new NumberFormatException(text);
+        }
+        return Integer.parseInt(text);
+    }
+
     /** A tag without the marks that HTTP puts round it; null where there is none. */
     private static String bare(String tag) {
         if (tag == null || tag.isEmpty()) {
--- a/src/main/java/petrelplank/front/Front.java
+++ b/src/main/java/petrelplank/front/Front.java
@@ -46,7 +46,7 @@
         this.servers = connect.apply(loop, relay);
         this.send = new Send(loop, servers, relay);
         this.admit = new Admit(loop, mostOpen, route, book);
-        this.takeIn = new TakeIn(admit);
+        this.takeIn = new TakeIn(admit, settings);
         book.admit(admit);
         this.router = new Brain(settings, seed, new Deeds());
         route.router(router);
--- a/src/main/java/petrelplank/front/TakeIn.java
+++ b/src/main/java/petrelplank/front/TakeIn.java
@@ -1,5 +1,10 @@
 package petrelplank.front;
 
+import java.util.Map;
+import java.util.stream.Collectors;
+import petrelplank.decision.Router.ServiceClass;
+import petrelplank.decision.Router.Settings;
+
 /**
  * Stage 1: makes an exchange of what a client asked. What can't be passed on as it is, is answered here, since
  * a command with unusable fields would void more than the one request.
@@ -8,11 +13,17 @@
     /** Taken off a client's patience, so that the answer given at the deadline still reaches it. */
     static final long MARGIN_US = 25_000;
     private static final int LONGEST_NAME = 128;
+    private static final int HEX_DIGITS = 16;
+    private static final int LAST_GROUP = 255;
 
     private final Admit admit;
+    /** How long clients wait at most, by class. */
+    private final Map<String, Long> longest;
 
-    TakeIn(Admit admit) {
+    TakeIn(Admit admit, Settings settings) {
         this.admit = admit;
+        this.longest = settings.classes().stream()
+            .collect(Collectors.toMap(ServiceClass::name, ServiceClass::deadlineUs));
     }
 
     /** Takes a request that arrived whole at {@code arrivedUs}; null where it was answered at once. */
@@ -21,14 +32,20 @@
             caller.answer(Answer.of(Answer.Kind.BAD_REQUEST));
             return null;
         }
-        long marginUs = Math.min(MARGIN_US, asked.timeoutUs() / 4);
-        return admit.admit(new Exchange(asked, caller, arrivedUs, arrivedUs + asked.timeoutUs() - marginUs));
+        // Guards against a wait beyond all clients', which would hold its place and memory for as long.
+        long waitUs = Math.min(asked.timeoutUs(), longest.get(asked.serviceClass()));
+        long marginUs = Math.min(MARGIN_US, waitUs / 4);
+        return admit.admit(new Exchange(asked, caller, arrivedUs, arrivedUs + waitUs - marginUs));
+    }
+
+    private boolean usable(ClientRequest asked) {
+        return hex(asked.id()) && hex(asked.object()) && asked.timeoutUs() > 0
+            && longest.containsKey(asked.serviceClass()) && asked.part() >= 0 && asked.group() >= 0
+            && asked.group() <= LAST_GROUP && (asked.tag() == null || word(asked.tag()));
     }
 
-    private static boolean usable(ClientRequest asked) {
-        return word(asked.id()) && word(asked.serviceClass()) && asked.object().length() == 16
-            && asked.object().chars().allMatch(c -> Character.digit(c, 16) >= 0) && asked.timeoutUs() > 0
-            && asked.part() >= 0 && asked.group() >= 0 && (asked.tag() == null || word(asked.tag()));
+    private static boolean hex(String text) {
+        return text.length() == HEX_DIGITS && text.chars().allMatch(c -> c < 0x7f && Character.digit(c, 16) >= 0);
     }
 
     /** One word that may stand in a command line or a field list. */
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -101,15 +101,20 @@
     void healthIsGoodAndABadRequestIsAnsweredAsSuch() throws IOException {
         client.ask(1, "/_health", NOTHING);
         assertTrue(client.answer().startsWith("1 Status: 200"));
-        client.ask(2, "/invoke/media", NOTHING, "X-Request-Id", "aa", "X-Timeout-Ms", "500", "X-Object", "short");
-        assertTrue(client.answer().startsWith("2 Status: 400"));
+        String id = "9b1f03aa5c7e2d41";
+        for (String[] bad : new String[][] {{"media", id, "short", "17"}, {"media", id, id, "256"},
+            {"none", id, id, "17"}, {"media", "9b1f03aa5c7e2d4x", id, "17"}, {"media", "", id, "17"}}) {
+            client.ask(2, "/invoke/" + bad[0], NOTHING, "X-Request-Id", bad[1], "X-Timeout-Ms", "500", "X-Object",
+                bad[2], "X-N", "0", "X-Shard", bad[3]);
+            assertTrue(client.answer().startsWith("2 Status: 400"), String.join(" ", bad));
+        }
         assertTrue(cache.quiet());
     }
 
     @Test
     void answersAreServedWholeOnceAndInAnyOrder() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
-        ask(2, "bb", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
+        ask(2, "bbbbbbbbbbbbbbbb", "media");
         FakeServer.Line one = cache.next();
         FakeServer.Line two = cache.next();
         assertTrue(one.text().contains(",from=p-1,") && one.text().endsWith(" 0"), one.text());
@@ -123,39 +128,39 @@
 
     @Test
     void abortedRequestIsCalledOffAndNeverAnswered() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         client.abort(1);
-        assertEquals("abort aa", cache.next().text());
-        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
-        ask(1, "bb", "media");
-        assertEquals("bb", cache.next().word(1));
-        fetch.reply("bb ACK tell=HIT 3\r\ntwo\r\n");
+        assertEquals("abort aaaaaaaaaaaaaaaa", cache.next().text());
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        ask(1, "bbbbbbbbbbbbbbbb", "media");
+        assertEquals("bbbbbbbbbbbbbbbb", cache.next().word(1));
+        fetch.reply("bbbbbbbbbbbbbbbb ACK tell=HIT 3\r\ntwo\r\n");
         assertTrue(client.answer().endsWith("two"));
     }
 
     @Test
     void resetReadIsSentAgainAndServed() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         cache.next().reset();
         FakeServer.Line again = parent.next();
-        assertEquals("aa", again.word(1));
-        again.reply("aa ACK tell=HIT 3\r\none\r\n");
+        assertEquals("aaaaaaaaaaaaaaaa", again.word(1));
+        again.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
     }
 
     @Test
     void resetOrFailedSingleShotIsFailedAtOnceAndNeverSentAgain() throws IOException, InterruptedException {
-        ask(1, "aa", "stock-move");
+        ask(1, "aaaaaaaaaaaaaaaa", "stock-move");
         FakeServer.Line sent = origin.next();
-        assertTrue(sent.text().startsWith("fetch aa cls=stock-move,") && sent.text().endsWith(" 4"), sent.text());
+        assertTrue(sent.text().startsWith("fetch aaaaaaaaaaaaaaaa cls=stock-move,") && sent.text().endsWith(" 4"), sent.text());
         assertEquals("move", origin.next().text());
         sent.reset();
         assertTrue(client.answer().startsWith("1 Status: 504"));
-        ask(2, "bb", "stock-move");
+        ask(2, "bbbbbbbbbbbbbbbb", "stock-move");
         FakeServer.Line second = origin.next();
         assertEquals("move", origin.next().text());
-        second.reply("bb EIO - 0\r\n\r\n");
+        second.reply("bbbbbbbbbbbbbbbb EIO - 0\r\n\r\n");
         assertTrue(client.answer().startsWith("2 Status: 504"));
         assertTrue(origin.quiet() && parent.quiet() && cache.quiet());
     }
@@ -164,10 +169,10 @@
     @Test
     void singleShotThatWasNeverWrittenIsNotFailed() throws IOException, InterruptedException {
         origin.close();
-        ask(1, "aa", "stock-move");
+        ask(1, "aaaaaaaaaaaaaaaa", "stock-move");
         FakeServer.Line other = parent.next();
         assertTrue(other.text().contains(",from=o-1 "), other.text());
-        other.reply("aa AGAIN - 0\r\n\r\n");
+        other.reply("aaaaaaaaaaaaaaaa AGAIN - 0\r\n\r\n");
         assertTrue(client.answer().contains("Status: 503"));
     }
 
@@ -177,10 +182,10 @@
             bad.raw(new byte[] {9, 9, 9, 9, 9, 9, 9, 9});
             assertEquals("closed", bad.answer());
         }
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         cache.next().reply("what is this\r\n");
         FakeServer.Line again = parent.next();
-        again.reply("aa ACK tell=HIT 3\r\none\r\n");
+        again.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
     }
 
@@ -189,7 +194,7 @@
     void fewRequestsShareAConnection() throws IOException, InterruptedException {
         FakeServer.Line[] sent = new FakeServer.Line[3];
         for (int i = 0; i < sent.length; i++) {
-            ask(i + 1, "r" + i, "stock-move");
+            ask(i + 1, "c00000000000000" + i, "stock-move");
             sent[i] = origin.next();
             assertEquals("move", origin.next().text());
         }
@@ -197,20 +202,20 @@
         sent[0].reply("what is this\r\n");
         assertTrue(client.answer().contains("Status: 504"));
         assertTrue(client.answer().contains("Status: 504"));
-        sent[2].reply("r2 ACK - 2\r\nok\r\n");
+        sent[2].reply("c000000000000002 ACK - 2\r\nok\r\n");
         assertTrue(client.answer().endsWith("ok"));
     }
 
     /** Nothing behind an answer that stops short can be read, while the connection stays open. */
     @Test
     void answerThatStopsShortEndsWhatIsOpenBehindIt() throws IOException, InterruptedException {
-        ask(1, "aa", "stock-move");
+        ask(1, "aaaaaaaaaaaaaaaa", "stock-move");
         FakeServer.Line first = origin.next();
         assertEquals("move", origin.next().text());
-        ask(2, "bb", "stock-move");
+        ask(2, "bbbbbbbbbbbbbbbb", "stock-move");
         FakeServer.Line second = origin.next();
         assertTrue(first.socket() == second.socket());
-        first.reply("aa ACK tell=HIT 10\r\nhalf");
+        first.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 10\r\nhalf");
         assertTrue(client.answer().contains("Status: 504"));
         assertTrue(client.answer().contains("Status: 504"));
     }
@@ -218,7 +223,7 @@
     /** Its connection would stay open for good if the machine were silent. */
     @Test
     void requestIsCalledOffAtACacheThatHasLeftTheListMeanwhile() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         coordinatorTells("{\"index\":2,\"endpoints\":{\"reset\":false,\"instances\":["
             + entry("c-1", cache, "edge-1", "box", "left") + "]}}");
@@ -229,17 +234,17 @@
     /** A new cache may have the address of one that has gone: its work goes out on connections of its own. */
     @Test
     void newCacheAtAnOldAddressGetsItsOwnConnection() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line first = cache.next();
-        first.reply("aa ACK tell=HIT 3\r\none\r\n");
+        first.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         client.answer();
         coordinatorTells("{\"index\":2,\"endpoints\":{\"reset\":false,\"instances\":["
             + entry("c-1", cache, "edge-1", "box", "left") + "," + entry("c-2", cache, "edge-1", "box", "active")
             + "]}}");
-        ask(2, "bb", "media");
+        ask(2, "bbbbbbbbbbbbbbbb", "media");
         FakeServer.Line second = cache.next();
         assertTrue(second.socket() != first.socket());
-        second.reply("bb ACK tell=HIT 3\r\ntwo\r\n");
+        second.reply("bbbbbbbbbbbbbbbb ACK tell=HIT 3\r\ntwo\r\n");
         assertTrue(client.answer().endsWith("two"));
     }
 
@@ -252,7 +257,7 @@
 
     @Test
     void silentAndHalfSentRequestsAreClosedInTimeAndOwedAnswersAreNot() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         try (FcgiClient silent = new FcgiClient(front.address()); FcgiClient half = new FcgiClient(front.address());
              FcgiClient idle = new FcgiClient(front.address())) {
@@ -267,14 +272,14 @@
             laterUs.addAndGet(5_100_000);
             assertEquals("closed", idle.answer());
         }
-        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
     }
 
     /** Clients that ask once and stay must not keep others out, nor cost those that are owed an answer theirs. */
     @Test
     void quietestConnectionMakesRoomAtTheLimit() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         List<FcgiClient> kept = new ArrayList<>();
         for (int i = 0; i < SOCKETS; i++) {
@@ -283,7 +288,7 @@
             assertTrue(kept.get(i).answer().startsWith("1 Status: 200"));
         }
         assertEquals("closed", kept.get(0).answer());
-        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
         for (FcgiClient one : kept) {
             one.close();
@@ -301,7 +306,7 @@
 
     @Test
     void newConfigurationMovesTheFollowerAndKeepsOpenRequests() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         try (FakeServer next = new FakeServer()) {
             String old = Files.readString(file);
@@ -312,7 +317,7 @@
             Serve.reload(front, file.toFile());
             assertEquals("follow 2", next.next().text());
         }
-        fetch.reply("aa ACK tell=HIT 3\r\none\r\n");
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
         assertTrue(coordinator.quiet());
     }
@@ -329,13 +334,13 @@
 
     @Test
     void drainAnswersWhatIsOpenAndThenEnds() throws IOException, InterruptedException {
-        ask(1, "aa", "media");
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
         FakeServer.Line fetch = cache.next();
         CountDownLatch ended = new CountDownLatch(1);
         front.drain(ended::countDown);
-        ask(2, "bb", "media");
+        ask(2, "bbbbbbbbbbbbbbbb", "media");
         cache.next();
-        fetch.reply("aa ACK tell=HIT 3\r\none\r\nbb ACK tell=HIT 3\r\ntwo\r\n");
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\nbbbbbbbbbbbbbbbb ACK tell=HIT 3\r\ntwo\r\n");
         assertTrue(client.answer().startsWith("1 Status: 200"));
         assertTrue(client.answer().startsWith("2 Status: 200"));
         ended.await();
--- a/src/test/java/petrelplank/client/RecordParserTest.java
+++ b/src/test/java/petrelplank/client/RecordParserTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,18 +10,22 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import petrelplank.front.Answer;
 import petrelplank.wire.Cuts;
 
 class RecordParserTest implements Assembler.Listener {
     private final List<String> heard = new ArrayList<>();
     private final AtomicLong together = new AtomicLong();
+    private int owed;
 
     /** Two requests whose records are mixed, one of them with padding, and an abort of a third. */
     private static byte[] twoRequests() {
@@ -97,6 +102,32 @@
             () -> assembler.take(new Record(Record.BEGIN_REQUEST, 3, new byte[7])));
     }
 
+    @Test
+    void moreRequestsThanAConnectionCarriesAreDeclined() {
+        Assembler assembler = new Assembler(this, together, 1 << 20);
+        owed = Assembler.MOST_OPEN - 1;
+        for (int id = 1; id <= 2; id++) {
+            assembler.take(new Record(Record.BEGIN_REQUEST, id, new byte[] {0, 1, 1, 0, 0, 0, 0, 0}));
+        }
+        assertEquals(List.of("declined 2 2"), heard);
+    }
+
+    /** Figures out of range once overflowed the deadline, and lengths that don't fit were passed on. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP_X_TIMEOUT_MS=9223372036854775", "HTTP_X_TIMEOUT_MS=-5", "HTTP_X_TIMEOUT_MS=+5",
+        "HTTP_X_TIMEOUT_MS=", "HTTP_X_N=1.5", "HTTP_X_N=99999999999", "HTTP_X_SHARD=many", "CONTENT_LENGTH=3",
+        "CONTENT_LENGTH=-1", "SCRIPT_NAME=/invoke", "SCRIPT_NAME=/other/media"})
+    void parametersThatMakeNoRequestAreTold(String changed) {
+        Map<String, String> params = new HashMap<>(Map.of("SCRIPT_NAME", "/invoke/media", "CONTENT_LENGTH", "2",
+            "HTTP_X_REQUEST_ID", "9b1f03aa5c7e2d41", "HTTP_X_TIMEOUT_MS", "1500", "HTTP_X_OBJECT",
+            "7f3a9c21e0b4d655", "HTTP_X_N", "0", "HTTP_X_SHARD", "17"));
+        byte[] body = {'h', 'i'};
+        assertEquals(1_500_000, ClientAcceptor.decode(params, body).timeoutUs());
+        int equals = changed.indexOf('=');
+        params.put(changed.substring(0, equals), changed.substring(equals + 1));
+        assertNull(ClientAcceptor.decode(params, body));
+    }
+
     @Override
     public void request(int id, boolean keep, Map<String, String> params, byte[] body) {
         heard.add("request " + id + " " + params + " " + new String(body, StandardCharsets.ISO_8859_1));
@@ -121,4 +152,9 @@
     public boolean open(int id) {
         return false;
     }
+
+    @Override
+    public int owed() {
+        return owed;
+    }
 }
