Pardon servers for errors of a request that three of them answered with one

At the third such error the request is given up and the three failures are taken back; a server that only they had ejected returns.

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -39,6 +39,11 @@
     private static final int COUNT_CELLS = 1 << 13;
     /** Failures in a row that eject a server; one connect failure does so at once. */
     private static final int FAILURES = 3;
+    /**
+     * Errors from so many servers are the request's own fault: it ends, and they are pardoned. Guards good
+     * servers and the retry budget against clients that ask for what no server can use.
+     */
+    private static final int ERRORS = 3;
     /** First pause of an ejected server, in connect time-outs; doubles with a failed trial, to the cap. */
     private static final double FIRST_PAUSE = 2;
     private static final double PAUSE_CAP = 16;
@@ -266,6 +271,14 @@
         }
     }
 
+    /** Takes back a failure that was not the server's. */
+    private void pardon(Node n, long now) {
+        n.failures = Math.max(0, n.failures - 1);
+        if (n.ejected && n.failures < FAILURES) {
+            worked(n, now);
+        }
+    }
+
     private void worked(Node n, long now) {
         n.failures = 0;
         if (n.ejected) {
@@ -634,7 +647,7 @@
             cancelAll(r);
         } else if (r.out == 0) {
             double cost = o.status() == Status.MISS ? 0 : 1;
-            if (retryTokens >= cost && o.status() != Status.MOOT) {
+            if (retryTokens >= cost && o.status() != Status.MOOT && r.errors.size() < ERRORS) {
                 retryTokens -= cost;
                 r.oldCopyWillDo = true;
                 attempt(r, now);
@@ -829,6 +842,12 @@
                 if (!source && !r.silent) {
                     failed(t.node, now, false, t.trial);
                 }
+                if (o.status() == Status.ERROR && o.note() == Note.NONE && !t.trial) {
+                    r.errors.add(t.node);
+                    if (r.errors.size() == ERRORS) {
+                        r.errors.forEach(n -> pardon(n, now));
+                    }
+                }
             }
         }
         if (o.status() == Status.MISS) {
--- a/src/main/java/petrelplank/decision/Live.java
+++ b/src/main/java/petrelplank/decision/Live.java
@@ -41,6 +41,8 @@
     final List<Try> tries = new ArrayList<>(2);
     /** Servers that it shall pass by. */
     final List<Node> failed = new ArrayList<>(2);
+    /** Servers that answered with an error and no note. */
+    final List<Node> errors = new ArrayList<>(0);
     int out;
     boolean over;
     boolean oldCopyWillDo;
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -140,6 +140,23 @@
         assertEquals(1, host.lines.size(), host.lines.toString());
     }
 
+    /** Bad clients ask for what no server can use, at full speed. */
+    @Test
+    void requestThatAllServersAnswerWithAnErrorIsGivenUpAndLeavesNoneOut() {
+        for (int i = 0; i < 8; i++) {
+            String id = host.ask(i);
+            for (int j = 0; j < 3; j++) {
+                host.end(id, Status.ERROR, Note.NONE, MS);
+            }
+            assertTrue(host.answered(id));
+            assertEquals(3, host.attempts(id));
+        }
+        assertEquals(List.of(), host.lines);
+        Set<String> servers = new TreeSet<>();
+        host.fills(100, 200).forEach(o -> servers.add(o.server()));
+        assertEquals(Set.of("a", "b", "c", "d"), servers);
+    }
+
     @Test
     void coldCacheIsSentNoMoreThanItsBudget() {
         host.change(cache("a", host.now));
