Ask again for gaps in the coordinator's numbers; bound open requests by memory

Follower now follows again from the last number, once; a gap that stays is accepted, so that skipped numbers don't loop. - Admit held up to 1,024 requests whatever the memory, and bodies of open requests were counted nowhere: hundreds of 240 KB would take 192 MB. Both, and unread answers, now follow memory_mb of the configuration. - Lines on overdue answers and failed tasks were one each; now one in 25, the first at once. - Brain kept holders on servers that had left until 8,192 newer ones came, and old purges until the table was full.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -32,7 +32,9 @@
     private static final long KILL_MARGIN_US = 200 * MS;
     private static final long FLUSH_US = 50 * MS;
     private static final long LEAST_CONNECT_US = 50 * MS;
-    private static final int MOST_OPEN = 1024;
+    /** Requests open at once for each MB of memory: bounds what a jam holds, 2,048 of them at 128 MB. */
+    private static final int OPEN_PER_MB = 16;
+    private static final int BACKLOG = 1024;
     /** Descriptors of the clients and of the servers, each of five parts; the rest is the process's own. */
     private static final int SOCKET_PARTS = 2;
     private static final int READ_BUFFER = 16_384;
@@ -59,17 +61,17 @@
         toServers.getSessionConfig().setMaxReadBufferSize(MOST_READ_BUFFER);
         acceptor.getSessionConfig().setTcpNoDelay(true);
         acceptor.setReuseAddress(true);
-        acceptor.setBacklog(MOST_OPEN);
+        acceptor.setBacklog(BACKLOG);
         int sockets = c.sockets() * SOCKET_PARTS / 5;
         ServerPool.Limits limits = new ServerPool.Limits(sockets, c.streams(),
             Math.max(LEAST_CONNECT_US, c.settings().connectTimeoutUs()), c.idleUs());
-        front = new Front(loop, c.settings(), c.seed(), MOST_OPEN, (l, relay) -> {
+        front = new Front(loop, c.settings(), c.seed(), OPEN_PER_MB * c.memoryMb(), (l, relay) -> {
             pool = new ServerPool(l, relay, toServers, limits, c.settings().reportFields());
             return pool;
         });
         c.known().forEach(u -> front.told(EventDecoder.decode(u)));
         follower = new Follower(loop, front, toCoordinator, c.coordinator());
-        clients = new ClientAcceptor(loop, front, acceptor, sockets);
+        clients = new ClientAcceptor(loop, front, acceptor, sockets, (long) c.memoryMb() << 20);
     }
 
     /** Listens and follows the coordinator; ready once the event thread runs. */
--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -24,11 +24,11 @@
     private static final Logger LOG = Logger.getLogger(ClientAcceptor.class.getName());
     /** Unread bytes of answers at which a connection is given up: its client does not read. */
     private static final long MOST_UNREAD = 32L * 262_144;
-    /** Unread bytes of all clients together, above which one with a share of them is given up. */
-    private static final long MOST_UNREAD_TOGETHER = 24L << 20;
+    /** Unread bytes of all clients together, above which one with a share of them is given up: part of memory. */
+    private static final int UNREAD_PART = 6;
     private static final long SHARE_OF_UNREAD = 1 << 20;
-    /** Bytes of requests that are still coming in, over all connections. */
-    private static final long MOST_COMING = 16L << 20;
+    /** Bytes of requests that are coming in or open, over all connections: part of memory. */
+    private static final int HELD_PART = 8;
     /** A connection that brings nothing whole in this time, or leaves a request half sent, is closed. */
     static final long SILENT_US = 2_000_000;
     /** Clients close idle connections after 4 s; those that never do are closed after this. */
@@ -45,7 +45,8 @@
     private final NioSocketAcceptor acceptor;
     private final int most;
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
-    private final AtomicLong coming = new AtomicLong();
+    private final long memory;
+    private final AtomicLong held = new AtomicLong();
     private volatile boolean ready;
     private long malformed;
     private long slow;
@@ -59,12 +60,14 @@
      * @param front takes the requests
      * @param acceptor accepts connections; its handler is set here
      * @param most most connections at once
+     * @param memory bytes that the process may hold
      */
-    public ClientAcceptor(EventLoop loop, Front front, NioSocketAcceptor acceptor, int most) {
+    public ClientAcceptor(EventLoop loop, Front front, NioSocketAcceptor acceptor, int most, long memory) {
         this.loop = loop;
         this.front = front;
         this.acceptor = acceptor;
         this.most = most;
+        this.memory = memory;
         acceptor.setHandler(new Handler());
     }
 
@@ -170,7 +173,7 @@
     private final class Connection implements Assembler.Listener {
         private final IoSession session;
         private final RecordParser parser = new RecordParser();
-        private final Assembler assembler = new Assembler(this, coming, MOST_COMING);
+        private final Assembler assembler = new Assembler(this, held, memory / HELD_PART);
         private final Map<Integer, Asker> open = new ConcurrentHashMap<>();
         /** When it last brought a request whole, or took the last answer it was owed; its start before that. */
         private volatile long quietUs = loop.clock();
@@ -213,8 +216,9 @@
             }
         }
 
-        long clock() {
-            return loop.clock();
+        void answered(int bytes) {
+            held.addAndGet(-bytes);
+            quietUs = loop.clock();
         }
 
         void closed() {
@@ -224,7 +228,9 @@
 
         @Override
         public void request(int id, boolean keep, Map<String, String> params, byte[] body) {
-            Asker asker = new Asker(this, id, keep, params.getOrDefault("HTTP_X_REQUEST_ID", ""));
+            Asker asker = new Asker(this, id, keep, params.getOrDefault("HTTP_X_REQUEST_ID", ""), body.length);
+            // Guards memory against clients that open hundreds of requests with large bodies.
+            held.addAndGet(body.length);
             open.put(id, asker);
             used = true;
             quietUs = loop.clock();
@@ -246,6 +252,7 @@
         public void abort(int id) {
             Asker asker = open.remove(id);
             if (asker != null) {
+                held.addAndGet(-asker.bytes);
                 loop.post(() -> front.left(asker.requestId, asker));
             }
         }
@@ -293,7 +300,7 @@
             // Guards memory against a client that asks on and does not read.
             long unread = session.getScheduledWriteBytes();
             if (unread > MOST_UNREAD
-                || unread > SHARE_OF_UNREAD && acceptor.getScheduledWriteBytes() > MOST_UNREAD_TOGETHER) {
+                || unread > SHARE_OF_UNREAD && acceptor.getScheduledWriteBytes() > memory / UNREAD_PART) {
                 session.closeNow();
                 loop.post(() -> {
                     slow++;
@@ -351,19 +358,21 @@
         private final int id;
         private final boolean keep;
         private final String requestId;
+        private final int bytes;
 
-        Asker(Connection connection, int id, boolean keep, String requestId) {
+        Asker(Connection connection, int id, boolean keep, String requestId, int bytes) {
             this.connection = connection;
             this.id = id;
             this.keep = keep;
             this.requestId = requestId;
+            this.bytes = bytes;
         }
 
         /** Whoever takes the id off the connection first, an answer or an abort, has the last word. */
         @Override
         public void answer(Answer answer) {
             if (connection.open.remove(id, this)) {
-                connection.quietUs = connection.clock();
+                connection.answered(bytes);
                 connection.write(RecordEncoder.answer(id, answer), keep);
             }
         }
--- a/src/main/java/petrelplank/coordinator/Follower.java
+++ b/src/main/java/petrelplank/coordinator/Follower.java
@@ -38,6 +38,8 @@
     private long heardUs;
     private long breaks;
     private long breaksInRow;
+    /** The number after which events were found missing, and asked for again. */
+    private long askedAgainFrom = -1;
 
     /**
      * A follower; {@link #start} connects it.
@@ -135,10 +137,14 @@
         }
         heardUs = loop.now();
         breaksInRow = 0;
-        if (!(event instanceof ListEvent.Beat)) {
+        long last = front.listIndex();
+        if (event instanceof ListEvent.Beat ? event.index() > last : event.index() > last + 1
+            && askedAgainFrom != last) {
+            // Guards against a drain or a purge that was left out. A gap that stays when asked again is no loss.
+            askedAgainFrom = last;
+            broken(mine, "left out events between " + last + " and " + event.index());
+        } else if (!(event instanceof ListEvent.Beat)) {
             front.told(event);
-        } else if (event.index() > front.listIndex()) {
-            broken(mine, "left out events up to " + event.index());
         }
     }
 
--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -35,7 +35,7 @@
     private static final double TIE = LOAD_CAP / 5;
     /** An object takes one more edge cache, to three, each time its share times caches passes this. */
     private static final double HOT = 0.15;
-    /** Cells of the table of request counts, most seen holders, sweep of old purges; bounds memory. */
+    /** Cells of the table of request counts, and most seen holders; bounds memory. */
     private static final int COUNT_CELLS = 1 << 13;
     /** Failures in a row that eject a server; one connect failure does so at once. */
     private static final int FAILURES = 3;
@@ -210,6 +210,7 @@
                 : m.zone().equals(settings.zone()) ? Role.EDGE : Role.OTHER;
         }
         nodes.values().removeIf(n -> n.state == State.GONE);
+        holders.values().removeIf(n -> n.state == State.GONE);
         edges.clear();
         parents.clear();
         origin = null;
@@ -571,9 +572,7 @@
 
     private void purged(Map<Long, Long> table, long name, long now, long at) {
         table.merge(name, at, Math::max);
-        if (table.size() % COUNT_CELLS == 0) {
-            table.values().removeIf(old -> !lasts(old, now));
-        }
+        table.values().removeIf(old -> !lasts(old, now));
     }
 
     /** Whether copies older than a purge may be left: twice the stated time, for clocks and late messages. */
--- a/src/main/java/petrelplank/front/Book.java
+++ b/src/main/java/petrelplank/front/Book.java
@@ -6,6 +6,8 @@
 final class Book {
     private static final Logger LOG = Logger.getLogger(Book.class.getName());
 
+    private static final int LOGGED_ONE_IN = 25;
+
     private final long[] answered = new long[Answer.Kind.values().length];
     private long turnedAway;
     private long overdue;
@@ -43,8 +45,9 @@
     /** Guards against an answer that was never given, whatever forgot it. */
     void overdue(Exchange exchange) {
         if (!exchange.over) {
-            overdue++;
-            LOG.warning("no answer by the deadline, failed: " + exchange.asked.id() + ", " + overdue + " so far");
+            if (overdue++ % LOGGED_ONE_IN == 0) {
+                LOG.warning("no answer by the deadline, failed: " + exchange.asked.id() + ", " + overdue + " so far");
+            }
             answer(exchange, Answer.of(Answer.Kind.FAILED));
         }
     }
--- a/src/main/java/petrelplank/front/EventLoop.java
+++ b/src/main/java/petrelplank/front/EventLoop.java
@@ -39,6 +39,8 @@
         }
     }
 
+    private static final int LOGGED_ONE_IN = 25;
+
     private final LongSupplier clock;
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition posted = lock.newCondition();
@@ -174,8 +176,9 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            failures++;
-            LOG.log(Level.SEVERE, "task failed, " + failures + " so far", e);
+            if (failures++ % LOGGED_ONE_IN == 0) {
+                LOG.log(Level.SEVERE, "task failed, " + failures + " so far", e);
+            }
         }
     }
 
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -59,7 +59,7 @@
         coordinator = new FakeServer();
         file = folder.resolve("config.json");
         Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":"
-            + SOCKETS + ",\"memory_mb\":192},\"coordinator\":\"" + coordinator.address() + "\",\"known\":{\"index\":1,"
+            + SOCKETS + ",\"memory_mb\":1},\"coordinator\":\"" + coordinator.address() + "\",\"known\":{\"index\":1,"
             + "\"updates\":[{\"index\":1,\"endpoints\":{\"instances\":[" + entry("c-1", cache, "edge-1", "box", "active")
             + "," + entry("p-1", parent, "north", "parent", "active") + ","
             + entry("o-1", origin, "north", "origin", "active") + "]}}]},\"settings\":" + SETTINGS + "}");
@@ -248,6 +248,25 @@
         assertTrue(client.answer().endsWith("two"));
     }
 
+    /** An event that was left out may be a drain or a purge. */
+    @Test
+    void gapInTheNumbersIsAskedForAgainOnce() throws IOException, InterruptedException {
+        follow.reply("{\"index\":4,\"evict\":{\"shard\":1,\"unix_ms\":1}}\n");
+        FakeServer.Line again = coordinator.next();
+        assertEquals("follow 1", again.text());
+        again.reply("{\"index\":2,\"evict\":{\"shard\":1,\"unix_ms\":1}}\n"
+            + "{\"index\":2,\"evict\":{\"shard\":1,\"unix_ms\":1}}\n{\"index\":3,\"evi");
+        again.socket().close();
+        FakeServer.Line third = coordinator.next();
+        assertEquals("follow 2", third.text());
+        third.reply("{\"index\":5,\"evict\":{\"shard\":1,\"unix_ms\":1}}\n");
+        FakeServer.Line fourth = coordinator.next();
+        assertEquals("follow 2", fourth.text());
+        fourth.reply("{\"index\":5,\"evict\":{\"shard\":1,\"unix_ms\":1}}\n");
+        fourth.socket().shutdownOutput();
+        assertEquals("follow 5", coordinator.next().text());
+    }
+
     /** Writes an event, and waits for the break behind it to show that it was heard. */
     private void coordinatorTells(String event) throws IOException, InterruptedException {
         follow.reply(event + "\n");
@@ -295,6 +314,29 @@
         }
     }
 
+    /** Bodies are held until their answer: hundreds of large ones would take all memory. */
+    @Test
+    void bodiesOfOpenRequestsAreBoundedByMemory() throws IOException, InterruptedException {
+        byte[] body = new byte[60_000];
+        String[] move = {"X-Request-Id", "", "X-Timeout-Ms", "60000", "X-Object", "7f3a9c21e0b4d655", "X-N", "0",
+            "X-Shard", "17"};
+        FakeServer.Line[] sent = new FakeServer.Line[3];
+        for (int i = 0; i < sent.length; i++) {
+            move[1] = "c00000000000000" + i;
+            client.ask(i + 1, "/invoke/stock-move", body, move);
+            sent[i] = origin.next();
+            origin.next();
+        }
+        ask(4, "aaaaaaaaaaaaaaaa", "media");
+        assertEquals("4 declined 2", client.answer());
+        for (FakeServer.Line one : sent) {
+            one.reply(one.word(1) + " ACK - 2\r\nok\r\n");
+            assertTrue(client.answer().endsWith("ok"));
+        }
+        ask(4, "aaaaaaaaaaaaaaaa", "media");
+        assertEquals("aaaaaaaaaaaaaaaa", cache.next().word(1));
+    }
+
     /** Without a handler the platform ends the process at SIGHUP. */
     @Test
     void signalRunsItsHandlerInsteadOfEndingTheProcess() throws IOException, InterruptedException {
--- a/src/test/java/petrelplank/client/FcgiClient.java
+++ b/src/test/java/petrelplank/client/FcgiClient.java
@@ -67,6 +67,9 @@
             while (!records.isEmpty()) {
                 Record r = records.poll();
                 if (r.type() == Record.END_REQUEST) {
+                    if (r.content()[4] != 0) {
+                        return r.id() + " declined " + r.content()[4];
+                    }
                     byte[] text = out.remove(r.id()).toByteArray();
                     return r.id() + " " + new String(text, StandardCharsets.ISO_8859_1);
                 }
