Send what can't be sent again alone on a new connection

A probe in ServerPool.lost then showed 20 of 24 resets of stock-moves within 1 ms of their sending, each on a connection that had been idle for 160 ms or more: the server resets an idle connection when the next command comes, and that command may have run. The origin's connections are idle most of the time, the caches' seldom. Resets of new connections came before a byte was written, which proves that nothing ran (they are made anew).

--- a/src/main/java/petrelplank/front/Fetch.java
+++ b/src/main/java/petrelplank/front/Fetch.java
@@ -15,6 +15,7 @@
  * @param renew serve an ageing copy and renew it behind
  * @param tag the tag of the client's copy; null where it holds none
  * @param body bytes passed on
+ * @param alone it can't be sent again at will, and goes out alone on a connection of its own
  */
 public record Fetch(String id, String serviceClass, String object, long part, String source, int rank, long oldestMs,
-                    boolean join, boolean heldOnly, boolean renew, String tag, byte[] body) { }
+                    boolean join, boolean heldOnly, boolean renew, String tag, byte[] body, boolean alone) { }
--- a/src/main/java/petrelplank/front/Front.java
+++ b/src/main/java/petrelplank/front/Front.java
@@ -44,7 +44,7 @@
         Relay relay = new Relay(loop, book);
         Route route = new Route(loop, settings);
         this.servers = connect.apply(loop, relay);
-        this.send = new Send(loop, servers, relay);
+        this.send = new Send(loop, settings, servers, relay);
         this.admit = new Admit(loop, mostOpen, route, book);
         this.takeIn = new TakeIn(admit, settings);
         book.admit(admit);
--- a/src/main/java/petrelplank/front/Send.java
+++ b/src/main/java/petrelplank/front/Send.java
@@ -1,6 +1,11 @@
 package petrelplank.front;
 
+import java.util.Set;
+import java.util.stream.Collectors;
 import petrelplank.decision.Router.Order;
+import petrelplank.decision.Router.Repeat;
+import petrelplank.decision.Router.ServiceClass;
+import petrelplank.decision.Router.Settings;
 import petrelplank.decision.Router.Status;
 
 /** Stage 4: turns the router's orders into attempts, and watches their time. */
@@ -8,11 +13,15 @@
     private final EventLoop loop;
     private final Servers servers;
     private final Relay relay;
+    /** The classes that may not be sent again at will. */
+    private final Set<String> guarded;
 
-    Send(EventLoop loop, Servers servers, Relay relay) {
+    Send(EventLoop loop, Settings settings, Servers servers, Relay relay) {
         this.loop = loop;
         this.servers = servers;
         this.relay = relay;
+        this.guarded = settings.classes().stream().filter(c -> c.repeat() != Repeat.FREE).map(ServiceClass::name)
+            .collect(Collectors.toSet());
     }
 
     void send(Exchange exchange, Order order) {
@@ -21,7 +30,8 @@
         long untilUs = now + order.timeoutUs();
         Fetch fetch = new Fetch(asked.id(), asked.serviceClass(), asked.object(), asked.part(),
             order.source().equals(order.server()) ? null : order.source(), order.rank(), oldestMs(order.maxAgeUs()),
-            order.join(), order.heldOnly(), order.renew(), asked.tag(), asked.body());
+            order.join(), order.heldOnly(), order.renew(), asked.tag(), asked.body(),
+            guarded.contains(asked.serviceClass()));
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), order.server(), fetch, now, untilUs);
         exchange.attempts.add(attempt);
         attempt.timer = loop.at(untilUs, () -> timeout(attempt));
--- a/src/main/java/petrelplank/server/ServerPool.java
+++ b/src/main/java/petrelplank/server/ServerPool.java
@@ -18,6 +18,7 @@
 import petrelplank.decision.Router.Status;
 import petrelplank.front.Attempt;
 import petrelplank.front.EventLoop;
+import petrelplank.front.Fetch;
 import petrelplank.front.Relay;
 import petrelplank.front.ServerAnswer;
 import petrelplank.front.Servers;
@@ -133,7 +134,7 @@
     @Override
     public void fetch(Attempt attempt) {
         Server server = servers.get(attempt.server());
-        ServerConnection best = server == null ? null : choose(server, attempt.fetch().id());
+        ServerConnection best = server == null ? null : choose(server, attempt.fetch());
         if (best == null) {
             Status status = server == null ? Status.CONNECT_FAILED : Status.MOOT;
             loop.post(() -> end(attempt, status));
@@ -143,15 +144,22 @@
         best.send(attempt, loop.now());
     }
 
-    /** The least loaded connection that takes the id, else a new one; null where the limits are reached. */
-    private ServerConnection choose(Server server, String id) {
+    /** The least loaded connection that takes a command, else a new one; null where the limits are reached. */
+    private ServerConnection choose(Server server, Fetch fetch) {
+        if (fetch.alone() && connections.size() < limits.most()) {
+            // Guards what can't be sent again: an idle connection may be reset by the command that comes next, and
+            // a shared one by another's fault. A new one carries it alone; its reset while new proves nothing ran.
+            ServerConnection c = connect(server);
+            c.retiring = true;
+            return c;
+        }
         ServerConnection best = null;
         for (ServerConnection c : List.copyOf(server.connections)) {
             if (c.idle() && !c.retiring && loop.now() - c.heardUs > limits.idleUs() * 7 / 10) {
                 // Guards against a command that crosses the server's own close of an idle connection.
                 retire(c);
             }
-            if (c.takes(id) && (best == null || c.load() < best.load())) {
+            if (c.takes(fetch.id()) && (best == null || c.load() < best.load())) {
                 best = c;
             }
         }
