Warm up before ready: decisions rehearsed, own health asked

Clients come only once /_health is good, so that what is compiled before costs them nothing.

Ruled out: limits (refused 1 in 20 then), servers (late only while the CPU was at its cap), descriptors.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -10,13 +13,19 @@
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import petrelplank.client.ClientAcceptor;
+import petrelplank.client.WarmUp;
 import petrelplank.coordinator.EventDecoder;
 import petrelplank.coordinator.Follower;
+import petrelplank.decision.Router.Member;
 import petrelplank.decision.Router.ServiceClass;
+import petrelplank.decision.Router.Settings;
 import petrelplank.front.EventLoop;
 import petrelplank.front.Front;
+import petrelplank.front.ListEvent;
+import petrelplank.front.Rehearsal;
 import petrelplank.server.ServerPool;
 import petrelplank.settings.Configuration;
+import petrelplank.settings.Fields;
 
 /** All parts of one front, put together: one I/O thread for all sockets, and one event thread. */
 final class RunningFront {
@@ -40,7 +49,12 @@
     private static final int READ_BUFFER = 16_384;
     private static final int MOST_READ_BUFFER = 65_536;
 
+    private static final int DECISIONS = 1500;
+    private static final int ASK_ROUNDS = 60;
+
     private final EventLoop loop;
+    private final Settings settings;
+    private final List<Member> list = new ArrayList<>();
     private final long answerAllUs;
     private final Front front;
     private final Follower follower;
@@ -69,7 +83,14 @@
             pool = new ServerPool(l, relay, toServers, limits, c.settings().reportFields());
             return pool;
         });
-        c.known().forEach(u -> front.told(EventDecoder.decode(u)));
+        settings = c.settings();
+        for (Fields known : c.known()) {
+            ListEvent event = EventDecoder.decode(known);
+            front.told(event);
+            if (event instanceof ListEvent.Change change && change.complete()) {
+                change.entries().forEach(e -> list.add(e.member()));
+            }
+        }
         follower = new Follower(loop, front, toCoordinator, c.coordinator());
         clients = new ClientAcceptor(loop, front, acceptor, sockets, (long) c.memoryMb() << 20);
     }
@@ -77,8 +98,24 @@
     /** Listens and follows the coordinator; ready once the event thread runs. */
     void open(InetSocketAddress address) throws IOException {
         clients.listen(address);
+        loop.post(follower::start);
+        Thread warmUp = new Thread(this::warmUp, "warm-up");
+        warmUp.setDaemon(true);
+        warmUp.start();
+    }
+
+    /**
+     * Guards the first clients, who come all at once: under half a core they would wait for the compiler. Ready
+     * afterwards, and in any case.
+     */
+    private void warmUp() {
+        try {
+            Rehearsal.run(settings, list, DECISIONS);
+            WarmUp.ask(acceptor.getLocalAddress(), ASK_ROUNDS);
+        } catch (IOException | RuntimeException e) {
+            LOG.log(Level.WARNING, "warm-up broke off, ready without it", e);
+        }
         loop.post(() -> {
-            follower.start();
             clients.ready(true);
             LOG.info("serving at " + acceptor.getLocalAddress() + ", list at " + front.listIndex());
         });
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -1,6 +1,7 @@
 package petrelplank.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import petrelplank.client.FcgiClient;
+import petrelplank.client.WarmUp;
 import petrelplank.server.FakeServer;
 import petrelplank.settings.Configuration;
 
@@ -73,6 +75,9 @@
         events = new Thread(front::run);
         events.start();
         client = new FcgiClient(front.address());
+        do {
+            client.ask(1, "/_health", NOTHING);
+        } while (!client.answer().startsWith("1 Status: 200"));
         follow = coordinator.next();
         assertEquals("follow 1", follow.text());
     }
@@ -98,6 +103,23 @@
             "X-Timeout-Ms", "60000", "X-Object", "7f3a9c21e0b4d655", "X-N", "0", "X-Shard", "17");
     }
 
+    /** What the first clients need is run before, by the front's own means, and leaves nothing behind. */
+    @Test
+    void warmUpAsksTheFrontAndSendsNothingToServers() throws IOException {
+        WarmUp.ask(front.address(), 2);
+        client.ask(1, "/_health", NOTHING);
+        assertTrue(client.answer().startsWith("1 Status: 200"));
+        assertTrue(cache.quiet() && parent.quiet() && origin.quiet());
+        assertThrows(IOException.class, () -> WarmUp.ask(new InetSocketAddress("127.0.0.1", unused()), 1));
+    }
+
+    /** A port that nothing listens at. */
+    private static int unused() throws IOException {
+        try (FakeServer closed = new FakeServer()) {
+            return Integer.parseInt(closed.address().substring(closed.address().indexOf(':') + 1));
+        }
+    }
+
     @Test
     void healthIsGoodAndABadRequestIsAnsweredAsSuch() throws IOException {
         client.ask(1, "/_health", NOTHING);
