--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -34,7 +34,7 @@
     /** Clients close idle connections after 4 s; those that never do are closed after this. */
     static final long IDLE_US = 5_000_000;
     /** Bad clients send at full speed: a line for each would cost CPU and memory that good ones need. */
-    private static final int LOGGED_ONE_IN = 25;
+    private static final int LOGGED_ONE_IN = 250;
     private static final long SWEEP_US = 250_000;
     private static final int MOST_DIGITS = 9;
     private static final String HEALTH = "/_health";
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -178,7 +178,8 @@
     void resetOrFailedSingleShotIsFailedAtOnceAndNeverSentAgain() throws IOException, InterruptedException {
         ask(1, "aaaaaaaaaaaaaaaa", "stock-move");
         FakeServer.Line sent = origin.next();
-        assertTrue(sent.text().startsWith("fetch aaaaaaaaaaaaaaaa cls=stock-move,") && sent.text().endsWith(" 4"), sent.text());
+        assertTrue(sent.text().startsWith("fetch aaaaaaaaaaaaaaaa cls=stock-move,") && sent.text().endsWith(" 4"),
+            sent.text());
         assertEquals("move", origin.next().text());
         sent.reset();
         assertTrue(client.answer().startsWith("1 Status: 504"));
