Fills go by the link's reported room; the origin's share lifts with good calls

Ruled out: the link (x1), the caches (no FULL but NO_FILL_PLACE of a few). Now room on the link counts. - "origin short" at one in 50 for seconds after the origin was well (writes 100 ms): calls sent before a cut cut again, and only writes lifted the share; a front made one call a second. Calls sent before a cut now say nothing of it, each good one lifts, writes are no longer shed (they were a tenth of the calls). - NO_RETRY 250 to 330 a second where a branch lost all caches: usable() offered dead ones again, each took a retry. Caches that were not reached now give way to the hubs where requests may go straight there, and a refused connect costs no retry. - A silent hub was learned of by deadlines, 1.5 to 2.9 s. Silence is held against it once its cache answered.

--- a/src/main/java/petrelplank/cli/Serve.java
+++ b/src/main/java/petrelplank/cli/Serve.java
@@ -7,6 +7,7 @@
 import java.util.logging.Logger;
 import org.kohsuke.args4j.Option;
 import petrelplank.record.Event;
+import petrelplank.record.TraceSink;
 import petrelplank.settings.Addresses;
 import petrelplank.settings.Configuration;
 import petrelplank.settings.FormatException;
@@ -25,6 +26,9 @@
     @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; nothing of it is on without")
     private File operator;
 
+    @Option(name = "--trace", usage = "each event as a line on standard error; costs processor time, for a close look")
+    private boolean trace;
+
     /** For args4j, which makes it by reflection. */
     public Serve() { }
 
@@ -39,7 +43,8 @@
             if (operator != null && !operator.isFile()) {
                 return unusable(operator + ": no such file");
             }
-            Event.Sink sink = operator == null ? null : Records.sink(operator, c.name());
+            Event.Sink sink = trace ? new TraceSink(System.err)
+                : operator == null ? null : Records.sink(operator, c.name());
             front = new RunningFront(c, Serve::unixUs, sink);
             Signals.on("HUP", () -> reload(front, new File(config)));
             front.open(listen == null ? c.listen() : Addresses.parse(listen));
--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -39,17 +39,14 @@
     private static final int COUNT_CELLS = 1 << 13;
     /** Failures in a row that eject a server; one connect failure does so at once. */
     private static final int FAILURES = 3;
-    /**
-     * Errors from so many servers are the request's own fault: it ends, and they are pardoned. Guards good
-     * servers and the retry budget against clients that ask for what no server can use.
-     */
+    /** Errors from so many servers are the request's own fault: it ends, and they are pardoned. */
     private static final int ERRORS = 3;
     /** First pause of an ejected server, in connect time-outs; doubles with a failed trial, to the cap. */
     private static final double FIRST_PAUSE = 2;
     private static final double PAUSE_CAP = 16;
     /** Part of the cold rule's limit in use, as burst and as rate: under a half, for chance. */
     private static final double COLD_MARGIN = 0.45;
-    /** Retries earned by each request, and the most that may be saved up. */
+    /** Retries earned by each request, and the most saved up. */
     private static final double RETRY_EARN = 0.2;
     private static final double RETRY_CAP = 20;
     /** Out at once, over the gateways of a location: start, floor, steps that keep 1 in 20 or so late. */
@@ -69,8 +66,6 @@
     private static final double SHORT = 1.5;
     private static final double SHARE_CUT = 0.5;
     private static final double SHARE_LEAST = 0.02;
-    /** Writes keep so many times the share of misses: they are worth most and small. */
-    private static final double WRITES_FIRST = 4;
     /** Part of the location's link in use below which late fills are not the link's. */
     private static final double LINK_ROOM = 0.5;
     /**
@@ -267,6 +262,7 @@
             double first = FIRST_PAUSE * Math.max(1, settings.connectTimeoutUs());
             n.pauseUs = (long) (n.ejected ? Math.min(2 * n.pauseUs, PAUSE_CAP * first / FIRST_PAUSE) : first);
             n.trialAtUs = now + n.pauseUs;
+            n.unreached = sure;
             actions.ejected(n.id, n.ejected, n.pauseUs);
             log(now, (n.ejected ? "trial failed: " : "ejected: ") + n.id + ", ms " + n.pauseUs / 1000);
             n.ejected = true;
@@ -293,11 +289,14 @@
     /**
      * The servers of a list that may be offered: the ready ones. Where fewer than half of those that are up
      * are ready, the fault lies in what they share, and all that are up are offered; not so parents where
-     * answers tell the origin's failures from theirs: behind them stands the origin.
+     * answers tell the origin's failures from theirs: behind them stands the origin. Nor caches that were not
+     * reached, where requests may pass them by: a branch that lost them all goes to the parents straight.
      */
     private List<Node> usable(List<Node> list, Live r, long now) {
         List<Node> up = new ArrayList<>(list);
-        up.removeIf(n -> n.state != State.UP || r.failed.contains(n));
+        boolean direct = list == edges && settings.allowed().direct();
+        up.removeIf(n -> n.state != State.UP || r.failed.contains(n)
+            || direct && n.unreached && !ready(n, now));
         List<Node> ready = new ArrayList<>(up);
         ready.removeIf(n -> !ready(n, now));
         boolean told = list == parents && settings.notes() == Notes.ALL;
@@ -347,6 +346,11 @@
         return n.inHand >= 0 && n.inHand + Math.max(0, n.limit.out - n.outAtReport) < n.weight;
     }
 
+    /** Whether one more fill fits: under the limit, or the location's link was last reported to have room. */
+    private boolean mayFill(Live r) {
+        return fills.free(r) || linkUse >= 0 && linkUse < 1;
+    }
+
     /** Counts a request for an object, ageing all counts by half every so often. */
     private void count(long now, long key) {
         if (now - countsHalvedUs > 2 * windowUs) {
@@ -381,15 +385,16 @@
         List<Node> usable = usable(parents, r, now);
         usable.removeIf(n -> Hash.unit(Hash.mix(r.request.object() + n.hash)) > ramp(n, now)
             || !affords(n, r.workUs, now));
+        boolean originReady = origin != null && ready(origin, now) && !r.failed.contains(origin);
         if (usable.isEmpty()) {
-            return r.heldOnly ? null : ready(origin, r, now);
+            return originReady && !r.heldOnly ? origin : null;
         }
         double mean = meanQ(usable, group);
         double top = Double.NEGATIVE_INFINITY;
         for (Node n : usable) {
             top = Math.max(top, n.heard[group] ? n.q[group] : mean);
         }
-        if (top < 0 && !r.heldOnly && ready(origin, r, now) != null) {
+        if (top < 0 && !r.heldOnly && originReady) {
             return origin;
         }
         if (random.nextDouble() < EXPLORE) {
@@ -408,15 +413,8 @@
     }
 
     private static double meanQ(List<Node> nodes, int group) {
-        double sum = 0;
-        int heard = 0;
-        for (Node n : nodes) {
-            if (n.heard[group]) {
-                sum += n.q[group];
-                heard++;
-            }
-        }
-        return heard == 0 ? SERVED : sum / heard;
+        return nodes.stream().filter(n -> n.heard[group]).mapToDouble(n -> n.q[group]).average()
+            .orElse(SERVED);
     }
 
     /** Q moves by a tenth towards the payoff; parents pass nothing back, so there is no value to come. */
@@ -441,6 +439,7 @@
             if (o.note() == Note.FILLED || o.note() == Note.FROM_ORIGIN
                 || settings.notes() == Notes.NONE && o.note() == Note.NONE) {
                 double wait = o.sourceWaitUs() > 0 ? o.sourceWaitUs() : Math.max(0, o.latencyUs() - r.workUs);
+                t.source.heardUs = now;
                 learn(t.source, r, SERVED - LOAD_CAP * Math.min(1, wait / r.type.aimUs()));
                 if (t.source.role != Role.PARENT) {
                     return;
@@ -455,8 +454,10 @@
             }
         } else if (sourceToBlame(o)) {
             learn(t.source, r, -SERVED);
-            if (o.note() != Note.ORIGIN_FAILED && t.source.role == Role.PARENT) {
-                failed(t.source, now, false, t.trial);
+            boolean told = r.silent && t == r.lost;
+            if (o.note() != Note.ORIGIN_FAILED && t.source.role == Role.PARENT && !told) {
+                boolean unreached = o.status() == Status.FULL && o.note() == Note.SOURCE_UNREACHABLE;
+                failed(t.source, now, unreached, t.trial);
             }
         }
     }
@@ -647,7 +648,7 @@
         if (r.over) {
             cancelAll(r);
         } else if (r.out == 0) {
-            double cost = o.status() == Status.MISS ? 0 : 1;
+            double cost = o.status() == Status.MISS || o.status() == Status.CONNECT_FAILED ? 0 : 1;
             if (retryTokens >= cost && o.status() != Status.MOOT && r.errors.size() < ERRORS) {
                 retryTokens -= cost;
                 r.oldCopyWillDo = true;
@@ -691,10 +692,10 @@
     }
 
     /**
-     * Guards against answers that never arrive, whatever swallows them: after a silence that size and the
-     * usual delay don't explain, a second copy goes out where allowed, else the first is cut. The same cache
-     * is asked if it has answered others meanwhile, else the next. Under the retry budget; in a jam the
-     * usual delay rises and it stops by itself. Could hurt as a jam begins, by the budget's worth of work.
+     * Guards against answers that never arrive: after a silence that size and the usual delay don't explain,
+     * a second copy goes out where allowed, else the first is cut. The cache is passed by unless it answered
+     * others meanwhile; then the source is, unless it did. Under the retry budget; in a jam the usual delay
+     * rises and it stops by itself. Could hurt as a jam begins, by the budget's worth of work.
      */
     private void silence(Live r, long now) {
         Try t = r.tries.get(r.tries.size() - 1);
@@ -703,7 +704,7 @@
         }
         if (!r.overdue && mayCall(r, t) && now > t.sentUs + aim(r)) {
             r.overdue = true;
-            called(now, false);
+            called(t, now, false);
         }
         if (now < t.sentUs + patienceUs(r)) {
             listen(r, t, now);
@@ -718,6 +719,10 @@
             if (t.node.heardUs < t.sentUs) {
                 failed(t.node, now, false, t.trial);
                 r.failed.add(t.node);
+            } else if (t.fill && t.source.heardUs < t.sentUs) {
+                learn(t.source, r, -SERVED);
+                failed(t.source, now, false, t.trial);
+                r.failed.add(t.source);
             }
             attempt(r, now);
         }
@@ -761,8 +766,7 @@
             r.asking = r.draw < originShare(now);
         }
         if (called && !r.overdue && (r.asking || r.type.write() || originShare(now) >= 1)) {
-            called(now, ok && !behind);
-            share = r.type.write() && good ? Math.min(1, share / SHARE_CUT) : share;
+            called(t, now, ok && !behind);
         }
         r.overdue = false;
         if (behind || !ok && !late && (o.status() != Status.FULL || sourceToBlame(o))) {
@@ -890,9 +894,7 @@
 
     /** Sends the next attempt, or gives the final answer at once. */
     private void attempt(Live r, long now) {
-        boolean spared = r.type.write() && r.draw >= WRITES_FIRST * originShare(now) / (1 + r.tries.size());
         GivenUp why = r.request.deadlineUs() - now <= r.workUs / 2 ? GivenUp.TIME
-            : spared ? GivenUp.ORIGIN_SHORT
             : r.tries.size() >= settings.allowed().attempts() ? GivenUp.ATTEMPTS
             : !mayResend(r, now) ? GivenUp.MAY_HAVE_RUN : null;
         if (why != null) {
@@ -906,7 +908,7 @@
         Node node = !r.type.write() || !direct ? edge(r, now)
             : originUp && !r.failed.contains(origin) ? origin : source(r, now);
         if (node == null && direct && !r.heldOnly && !r.type.write() && !r.crowded && source != null
-            && fills.free(r)) {
+            && mayFill(r)) {
             node = source;
             source = origin;
         }
@@ -917,7 +919,7 @@
         boolean toEdge = node.role == Role.EDGE && !r.type.write();
         boolean known = toEdge && !r.heldOnly && holders.get(r.key) == node;
         boolean fill = source != null && !r.type.write() && !known;
-        boolean noFill = source == null || fill && !fills.free(r);
+        boolean noFill = source == null || fill && !mayFill(r);
         if (toEdge && (noFill || fill && r.heldOnly)) {
             if (r.looked && noFill) {
                 giveUp(r, GivenUp.NO_FILL);
@@ -934,10 +936,14 @@
     /**
      * Guards the origin, and the writes that run there, when it is slow or turns calls away, at any size:
      * while calls go badly the share of misses that may make one is cut; it doubles with time and with each
-     * write served well. The rest takes what parents hold; writes are shed last. Could hurt where fills are
-     * late for another reason.
+     * call served well, since a small front makes few. Calls sent before the last cut say nothing of it. The
+     * rest takes what parents hold; writes go on. Could hurt where fills are late for another reason.
      */
-    private void called(long now, boolean well) {
+    private void called(Try t, long now, boolean well) {
+        if (t.sentUs < shareAtUs) {
+            return;
+        }
+        share = well && share < 1 ? Math.min(1, share / SHARE_CUT) : share;
         double window = windowUs / 2;
         double calls = asked.add(now, 1, window);
         double good = served.add(now, well ? 1 : 0, window);
@@ -956,10 +962,6 @@
         return share >= 1 ? 1 : Math.min(1, share * Math.pow(2, 2 * (now - shareAtUs) / windowUs));
     }
 
-    private Node ready(Node n, Live r, long now) {
-        return n != null && ready(n, now) && !r.failed.contains(n) ? n : null;
-    }
-
     private void send(Live r, Node node, Node source, boolean held, boolean fill, long now) {
         boolean trial = node.ejected || source.ejected;
         if (!settings.allowed().secondCopies()) {
--- a/src/main/java/petrelplank/decision/Node.java
+++ b/src/main/java/petrelplank/decision/Node.java
@@ -17,6 +17,8 @@
     /** Failures in a row. */
     int failures;
     boolean ejected;
+    /** It was left out since no connection was made, or a fill was slow: one failure that tells all. */
+    boolean unreached;
     long trialAtUs;
     long pauseUs;
     boolean trialOut;
--- a/src/main/java/petrelplank/decision/Router.java
+++ b/src/main/java/petrelplank/decision/Router.java
@@ -172,7 +172,7 @@
     enum GivenUp {
         /** Too little of its time is left. */
         TIME,
-        /** The origin is short, and its writes are shed. */
+        /** The origin was short, and its writes were shed: no longer done, kept for earlier records. */
         ORIGIN_SHORT,
         /** It has had all its attempts. */
         ATTEMPTS,
--- /dev/null
+++ b/src/main/java/petrelplank/record/TraceSink.java
@@ -0,0 +1,89 @@
+package petrelplank.record;
+
+import java.io.PrintStream;
+
+/**
+ * Writes events as lines of text while they happen, for a look at a fleet through its logs alone, where no disk is
+ * left: {@code serve --trace}. A line is {@code @}, the Unix microsecond, the kind, then its fields, separated by
+ * tabs; what is absent is {@code -}. Event thread only. Written with as little work as possible, since on a small
+ * part of a core the looking changes what is seen; still it costs, and it is off unless asked for.
+ */
+public final class TraceSink implements Event.Sink {
+    /** So many characters are written together. */
+    private static final int BATCH = 4096;
+    /** Lines wait no longer than this. */
+    private static final long FLUSH_US = 200_000;
+
+    private final PrintStream out;
+    private final StringBuilder lines = new StringBuilder(2 * BATCH);
+    private long writtenUs;
+
+    /**
+     * Writes to a stream.
+     *
+     * @param out takes whole lines
+     */
+    public TraceSink(PrintStream out) {
+        this.out = out;
+    }
+
+    @Override
+    public void record(long unixUs, Event event) {
+        if (event instanceof Event.Sent e) {
+            line(unixUs, "sent", Long.toHexString(e.request()), e.attempt(), e.type(), e.server(), e.source());
+        } else if (event instanceof Event.Ended e) {
+            line(unixUs, "ended", Long.toHexString(e.request()), e.attempt(), e.type(), e.server(), e.source(),
+                e.status(), e.note(), e.latencyUs(), e.waitedUs(), e.bytes(), e.load());
+        } else if (event instanceof Event.Answered e) {
+            line(unixUs, "answered", Long.toHexString(e.request()), e.type(), e.kind(), e.latencyUs(), e.bytes(),
+                e.inTime(), e.why());
+        } else if (event instanceof Event.Taken e) {
+            line(unixUs, "taken", Long.toHexString(e.request()), e.type(), Long.toHexString(e.object()), e.group());
+        } else if (event instanceof Event.Listed e) {
+            for (Event.Server s : e.servers()) {
+                line(unixUs, "listed", e.index(), s.id(), s.zone(), s.kind(), s.state(), s.weight(), s.startedUs());
+            }
+        } else if (event instanceof Event.Purged e) {
+            line(unixUs, "purged", e.index(), e.object() == null ? "-" : Long.toHexString(e.object()), e.group(),
+                e.unixMs());
+        } else if (event instanceof Event.Ejected e) {
+            line(unixUs, "ejected", e.server(), e.trial(), e.pauseUs());
+        } else if (event instanceof Event.Returned e) {
+            line(unixUs, "returned", e.server());
+        } else if (event instanceof Event.Started e) {
+            line(unixUs, "started", e.zone());
+        } else if (event instanceof Event.Pulse e) {
+            line(unixUs, "pulse", e.open(), e.queued(), e.lateUs());
+        } else if (event instanceof Event.TurnedAway e) {
+            line(unixUs, "turned", e.request(), e.type(), e.kind());
+        }
+        if (lines.length() >= BATCH || unixUs - writtenUs > FLUSH_US) {
+            writtenUs = unixUs;
+            write();
+        }
+    }
+
+    private void line(long unixUs, String kind, Object... fields) {
+        lines.append('@').append(unixUs).append('\t').append(kind);
+        for (Object field : fields) {
+            lines.append('\t');
+            if (field == null) {
+                lines.append('-');
+            } else {
+                lines.append(field);
+            }
+        }
+        lines.append('\n');
+    }
+
+    private void write() {
+        out.print(lines);
+        out.flush();
+        lines.setLength(0);
+    }
+
+    @Override
+    public void close() {
+        write();
+    }
+}
