--- a/src/main/java/petrelplank/adapter/Wire.java
+++ b/src/main/java/petrelplank/adapter/Wire.java
@@ -132,7 +132,7 @@
             }
             case "OUTCOME": {
                 Outcome outcome = new Outcome(f.text("job"), (int) f.whole("send-no"), status(f), f.whole("lag-us"),
-                    f.flag("settled"), note(f), f.whole("source-wait-us", 0), f.numbers("load"));
+                    f.flag("settled"), note(f), f.whole("source-wait-us", 0), f.numbers("load"), 0);
                 return () -> router.outcome(now, outcome);
             }
             case "ESTABLISHED": {
--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -446,7 +446,7 @@
                 }
                 filled.add(now, r.workUs, windowUs);
                 double stretch = (o.latencyUs() - o.sourceWaitUs()) / r.workUs;
-                if (r.request.sizeKb() <= 0 || !slow(t.source, stretch, r.workUs)) {
+                if (r.request.sizeKb() + o.sizeKb() <= 0 || !slow(t.source, stretch, r.workUs)) {
                     worked(t.source, now);
                 } else if (!t.source.ejected || t.trial) {
                     failed(t.source, now, true, t.trial);
@@ -545,17 +545,8 @@
 
     /** Learns what warm servers bear from us, for sites that tell no weights. */
     private void measure(long now) {
-        int warm = 0;
-        double sum = 0;
-        for (Node n : edges) {
-            if (ramp(n, now) >= 1) {
-                warm++;
-                sum += n.sent.add(now, 0, windowUs);
-            }
-        }
-        if (warm > 0) {
-            edgeRate = sum / warm;
-        }
+        edgeRate = edges.stream().filter(n -> ramp(n, now) >= 1)
+            .mapToDouble(n -> n.sent.add(now, 0, windowUs)).average().orElse(edgeRate);
         if (!parents.isEmpty()) {
             parentRate = Math.max(parentRate, filled.add(now, 0, windowUs) / parents.size());
         }
@@ -610,8 +601,7 @@
             actions.refuse(request.id(), 0);
             return;
         }
-        double work = request.sizeKb() > 0 && settings.flowKbPerS() > 0
-            ? request.sizeKb() / settings.flowKbPerS() * 1e6 : classWorkUs[index];
+        double work = workUs(request.sizeKb(), classWorkUs[index]);
         classWorkUs[index] += SMOOTH * (work - classWorkUs[index]);
         Live r = new Live(request, settings.classes().get(index), index, work, random.nextDouble());
         r.share = Math.max(LARGE_SHARE, Math.min(1, classWorkUs[index] / work));
@@ -752,7 +742,7 @@
     private void adapt(Live r, Try t, Outcome o, long now) {
         boolean ok = o.status() == Status.OK;
         if (ok && t.node.role == Role.EDGE) {
-            double part = (o.latencyUs() - r.workUs) / aim(r);
+            double part = (o.latencyUs() - t.workUs) / aim(r);
             delayDeviation += SMOOTH * (Math.abs(part - delay) - delayDeviation);
             delay += SMOOTH * (part - delay);
         }
@@ -780,14 +770,21 @@
         }
     }
 
+    private double workUs(double sizeKb, double untold) {
+        return sizeKb > 0 && settings.flowKbPerS() > 0 ? sizeKb / settings.flowKbPerS() * 1e6 : untold;
+    }
+
     /**
-     * Where sizes are not told, sending times are learned by class, from hits at caches that report room:
-     * cold budgets, patience and the pace of parents all go by it.
+     * Where sizes are not told beforehand, sending times are learned by class, from what came, or else from
+     * hits at caches that report room: cold budgets, patience and the pace of parents all go by it.
      */
     private void learnWork(Live r, Try t, Outcome o) {
-        if (r.request.sizeKb() <= 0 && o.status() == Status.OK && o.note() == Note.HIT
-            && t.node.inHand >= 0 && t.node.inHand < BUSY * t.node.weight) {
-            classWorkUs[r.typeIndex] += SMOOTH * (o.latencyUs() - classWorkUs[r.typeIndex]);
+        boolean room = t.node.inHand >= 0 && t.node.inHand < BUSY * t.node.weight;
+        boolean tells = o.sizeKb() > 0 || room && o.note() == Note.HIT;
+        r.workUs = workUs(o.sizeKb(), r.workUs);
+        if (tells && r.request.sizeKb() <= 0 && o.status() == Status.OK) {
+            double work = workUs(o.sizeKb(), o.latencyUs());
+            classWorkUs[r.typeIndex] += SMOOTH * (work - classWorkUs[r.typeIndex]);
         }
     }
 
--- a/src/main/java/petrelplank/decision/Live.java
+++ b/src/main/java/petrelplank/decision/Live.java
@@ -31,8 +31,8 @@
     final int typeIndex;
     /** The object's part, hashed. */
     final long key;
-    /** Sending time at a client's pace. */
-    final double workUs;
+    /** Sending time at a client's pace: told, or the class's mean until an answer tells it. */
+    double workUs;
     /** Drawn once, evenly from 0 to 1: what is shed or spared by share goes by it. */
     final double draw;
     /** Part of the limits that it may use. */
--- a/src/main/java/petrelplank/decision/Router.java
+++ b/src/main/java/petrelplank/decision/Router.java
@@ -440,9 +440,10 @@
      * @param note what is told of the copy or the fill
      * @param sourceWaitUs time to the source's first byte or failure; 0 when not told
      * @param load the server's load report; null when there is none
+     * @param sizeKb size of what came; 0 when not told
      */
     record Outcome(String request, int attempt, Status status, long latencyUs, boolean settled, Note note,
-                   long sourceWaitUs, double[] load) { }
+                   long sourceWaitUs, double[] load, double sizeKb) { }
 
     /**
      * An attempt to send.
--- a/src/main/java/petrelplank/front/Rehearsal.java
+++ b/src/main/java/petrelplank/front/Rehearsal.java
@@ -43,7 +43,7 @@
             now += STEP_US;
             if (host.order != null) {
                 router.outcome(now, new Outcome(id, 0, Status.OK, STEP_US, true,
-                    i % 4 == 0 ? Note.FILLED : Note.HIT, 0, load));
+                    i % 4 == 0 ? Note.FILLED : Note.HIT, 0, load, 0));
             }
         }
     }
--- a/src/main/java/petrelplank/front/Relay.java
+++ b/src/main/java/petrelplank/front/Relay.java
@@ -48,7 +48,7 @@
         }
         long now = loop.now();
         router.outcome(now, new Outcome(exchange.asked.id(), attempt.number, answer.status(), now - attempt.sentUs(),
-            exchange.over, answer.note(), answer.waitedUs(), answer.load()));
+            exchange.over, answer.note(), answer.waitedUs(), answer.load(), answer.body().length / 1024.0));
         book.release(exchange);
     }
 }
--- a/src/main/java/petrelplank/settings/Configuration.java
+++ b/src/main/java/petrelplank/settings/Configuration.java
@@ -55,7 +55,7 @@
             (int) limits.whole("sockets", 1024), (int) limits.whole("memory_mb", 192),
             Addresses.parse(f.text("coordinator")), known.whole("index", 0),
             known.objects("updates").stream().map(u -> new Fields(u, "known update")).toList(),
-            Setup.settings(settings), (int) Math.max(1, caps.whole("max-streams", 100)),
+            Setup.settings(settings, f.number("flow_bytes_per_s", 0)), (int) Math.max(1, caps.whole("max-streams", 100)),
             Math.max(1, caps.whole("conn-idle-us", 15_000_000)));
     }
 }
--- a/src/main/java/petrelplank/settings/Setup.java
+++ b/src/main/java/petrelplank/settings/Setup.java
@@ -18,15 +18,28 @@
     private Setup() { }
 
     public static Settings settings(Fields setup) {
+        return settings(setup, 0);
+    }
+
+    /**
+     * Reads the settings of a front on sockets, whose objects may have other sizes than the settings count in.
+     *
+     * @param setup the settings
+     * @param flowBytesPerS bytes a second at which one answer runs at most; 0 for what the settings say
+     * @return the settings, with all rates in the bytes of the sockets
+     */
+    static Settings settings(Fields setup, double flowBytesPerS) {
         Fields caps = child(setup, "caps");
         Fields rules = child(setup, "rules");
         Fields info = setup.has("family-info") ? child(setup, "family-info") : new Fields(Map.of(), "family-info");
+        double flow = info.number("flow-kb-per-s", 0);
+        double scale = flow > 0 && flowBytesPerS > 0 ? flowBytesPerS / 1024 / flow : 1;
         List<String> kinds = setup.texts("kinds");
         Fields report = child(setup, "report");
         return new Settings((int) setup.whole("self-index"), (int) setup.whole("balancers"), setup.text("zone"),
             setup.texts("localities"), ints(info, "crew-by-zone"), ints(info, "hub-of"),
-            doubles(info, "zone-link-kb-per-s"), kind(kinds, info.whole("upper-kind", -1)),
-            kind(kinds, info.whole("origin-kind", -1)), info.number("flow-kb-per-s", 0),
+            doubles(info, "zone-link-kb-per-s", scale), kind(kinds, info.whole("upper-kind", -1)),
+            kind(kinds, info.whole("origin-kind", -1)), flow * scale,
             weights(setup), notes(info), report.texts("fields"), setup.text("discovery").equals("subscribe"),
             caps.whole("connect-timeout-us", 0), classes(setup, info), allowed(caps, info), rules(rules, info));
     }
@@ -47,10 +60,10 @@
         return list;
     }
 
-    private static List<Double> doubles(Fields f, String name) {
+    private static List<Double> doubles(Fields f, String name, double scale) {
         List<Double> list = new ArrayList<>();
         for (double value : list(f, name)) {
-            list.add(value);
+            list.add(value * scale);
         }
         return list;
     }
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -513,4 +513,12 @@
         assertTrue(client.answer().startsWith("2 Status: 200"));
         ended.await();
     }
+
+    /** Objects on the sockets may have other sizes than the settings count in; all rates follow the sockets. */
+    @Test
+    void ratesAreInTheBytesOfTheSockets() throws IOException {
+        assertEquals(8000, Configuration.read(file.toFile()).settings().flowKbPerS());
+        Files.writeString(file, Files.readString(file).replaceFirst("\\{", "{\"flow_bytes_per_s\":20480,"));
+        assertEquals(20, Configuration.read(file.toFile()).settings().flowKbPerS());
+    }
 }
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -128,7 +128,7 @@
         String cache = host.last().server();
         host.now += 50 * MS;
         for (int i = 0; i < 10; i++) {
-            host.router.outcome(host.now, new Outcome("r" + i, 0, Status.RESET, 50 * MS, false, Note.NONE, 0, null));
+            host.router.outcome(host.now, new Outcome("r" + i, 0, Status.RESET, 50 * MS, false, Note.NONE, 0, null, 0));
         }
         assertEquals(List.of(), host.lines);
         for (int i = 0; i < 2; i++) {
@@ -538,7 +538,7 @@
         host.pass(500 * MS);
         assertEquals(2, host.attempts(id));
         assertTrue(host.all.contains("cancel " + id + " 0"));
-        host.router.outcome(host.now, new Outcome(id, 0, Status.CANCELLED, 500 * MS, false, Note.NONE, 0, null));
+        host.router.outcome(host.now, new Outcome(id, 0, Status.CANCELLED, 500 * MS, false, Note.NONE, 0, null, 0));
         host.end(id, Status.OK, Note.HIT, 110 * MS);
         host.pass(4 * S);
         assertEquals(2, host.attempts(id));
@@ -589,7 +589,7 @@
             if (host.attempts(id) > 0) {
                 host.pass(1900 * MS);
                 host.router.outcome(host.now, new Outcome(id, host.attempts(id) - 1, Status.OK, 1900 * MS, true,
-                    Note.HIT, 0, null));
+                    Note.HIT, 0, null, 0));
             }
         }
         String id = host.ask(1000);
@@ -644,7 +644,7 @@
         host.router.probed(host.now, "nobody", Status.OK, 5, new double[] {Double.NaN, 1e9});
         String id = host.ask(1);
         plain.ask(1);
-        host.router.outcome(host.now, new Outcome(id, 5, Status.OK, 1, false, Note.HIT, 0, new double[] {-1}));
+        host.router.outcome(host.now, new Outcome(id, 5, Status.OK, 1, false, Note.HIT, 0, new double[] {-1}, 0));
         assertEquals(plain.all, host.all);
     }
 
@@ -757,4 +757,43 @@
         assertTrue(toNorth >= 3 && toNorth <= 9, "to the silent hub " + toNorth);
         assertTrue(host.lines.stream().anyMatch(l -> l.startsWith("ejected: p-north")), host.lines.toString());
     }
+
+    /** A hub whose link was full sent at a twentieth of its pace for 2 s; first bytes came at once, sizes with them. */
+    @Test
+    void hubThatSendsSlowlyIsLeftWhereOnlyItsAnswersTellSizes() {
+        int slow = 0;
+        for (int i = 0; i < 60; i++) {
+            String id = host.ask("video", i, 0, 4 * S, 0);
+            boolean north = host.last().source().equals("p-north");
+            slow += north ? 1 : 0;
+            host.end(id, Status.OK, Note.FILLED, north ? 600 * MS : 120 * MS, null, 800);
+        }
+        assertTrue(slow < 40, "slow " + slow);
+        int near = 0;
+        Recorder large = new Recorder().usual();
+        for (int i = 0; i < 60; i++) {
+            String id = large.ask("video", i, 0, 4 * S, 0);
+            near += large.last().source().equals("p-north") ? 1 : 0;
+            large.end(id, Status.OK, Note.FILLED, 600 * MS, null, 4000);
+        }
+        assertTrue(near > 50, "near " + near);
+    }
+
+    /** What came late for its class came in time for its size: an aim grows with the sending time. */
+    @Test
+    void largeAnswersThatCameInTimeForTheirSizeShrinkNothing() {
+        assertTrue(looksAfterFillsOf(800) >= 15);
+        assertTrue(looksAfterFillsOf(8000) < 5);
+    }
+
+    private static long looksAfterFillsOf(double sizeKb) {
+        Recorder told = new Recorder().usual();
+        for (int i = 0; i < 30; i++) {
+            told.end(told.ask("video", i, 0, 4 * S, 0), Status.OK, Note.FILLED, 1200 * MS, null, sizeKb);
+        }
+        for (int i = 100; i < 120; i++) {
+            told.ask(i);
+        }
+        return told.sent.stream().filter(s -> s.order().server().equals(s.order().source())).count();
+    }
 }
--- a/src/test/java/petrelplank/decision/Recorder.java
+++ b/src/test/java/petrelplank/decision/Recorder.java
@@ -124,9 +124,13 @@
     }
 
     void end(String request, Status status, Note note, long latencyUs, double[] load) {
+        end(request, status, note, latencyUs, load, 0);
+    }
+
+    void end(String request, Status status, Note note, long latencyUs, double[] load, double sizeKb) {
         now += latencyUs;
         router.outcome(now, new Outcome(request, attempts(request) - 1, status, latencyUs, status == Status.OK, note,
-            note == Note.FILLED ? 10 * MS : 0, load));
+            note == Note.FILLED ? 10 * MS : 0, load, sizeKb));
     }
 
     /** Asks for many objects, each answered after a fill in good time. */
