The origin's queue is seen by its wait, and the event thread no longer spins

A watch on the fronts' threads showed the event thread alone at work; a stack of all threads showed the I/O thread inside Condition.signal, between taking the waiter's mark and putting it in line, held up by the compiler. A condition's timed wait that runs out in that moment spins until the signaller goes on (JDK 17, awaitNanos), and with one core it is the spinner that keeps it from going on. Ruled out: loops of the module (none waits for the clock), timers in the past, the coordinator. At fault: EventLoop.await and enqueue. The event thread now parks and is unparked; no class may wait on a condition (tested).

A call only told of trouble once it came late, and by then a second's worth of others stood behind it, so that all came late. A wait of half the aim now counts as a queue. The rule of the last landing that calls sent before a cut don't count was wrong, and is out: the descent has to be fast, the lift by good calls makes up for it.

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -66,6 +66,8 @@
     private static final double SHORT = 1.5;
     private static final double SHARE_CUT = 0.5;
     private static final double SHARE_LEAST = 0.02;
+    /** Part of the aim that a call waits at most before it tells of a queue: what joins that comes late. */
+    private static final double QUEUED = 0.5;
     /** Part of the location's link in use below which late fills are not the link's. */
     private static final double LINK_ROOM = 0.5;
     /**
@@ -694,7 +696,7 @@
         }
         if (!r.overdue && mayCall(r, t) && now > t.sentUs + aim(r)) {
             r.overdue = true;
-            called(t, now, false);
+            called(now, false);
         }
         if (now < t.sentUs + patienceUs(r)) {
             listen(r, t, now);
@@ -756,7 +758,8 @@
             r.asking = r.draw < originShare(now);
         }
         if (called && !r.overdue && (r.asking || r.type.write() || originShare(now) >= 1)) {
-            called(t, now, ok && !behind);
+            double first = o.sourceWaitUs() > 0 ? o.sourceWaitUs() : o.latencyUs() - r.workUs;
+            called(now, ok && !behind && first <= QUEUED * aim(r));
         }
         r.overdue = false;
         if (behind || !ok && !late && (o.status() != Status.FULL || sourceToBlame(o))) {
@@ -932,15 +935,12 @@
 
     /**
      * Guards the origin, and the writes that run there, when it is slow or turns calls away, at any size:
-     * while calls go badly the share of misses that may make one is cut; it doubles with time and with each
-     * call served well, since a small front makes few. Calls sent before the last cut say nothing of it. The
+     * while calls go badly, or wait so long that those behind them will, the share of misses that may make
+     * one is cut; it doubles with time and with each call served well, since a small front makes few. The
      * rest takes what parents hold; writes go on. Could hurt where fills are late for another reason.
      */
-    private void called(Try t, long now, boolean well) {
-        if (t.sentUs < shareAtUs) {
-            return;
-        }
-        share = well && share < 1 ? Math.min(1, share / SHARE_CUT) : share;
+    private void called(long now, boolean well) {
+        share = well ? Math.min(1, share / SHARE_CUT) : share;
         double window = windowUs / 2;
         double calls = asked.add(now, 1, window);
         double good = served.add(now, well ? 1 : 0, window);
--- a/src/main/java/petrelplank/front/EventLoop.java
+++ b/src/main/java/petrelplank/front/EventLoop.java
@@ -2,8 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
@@ -40,10 +39,10 @@
     }
 
     private static final int LOGGED_ONE_IN = 25;
+    private static final long MOST_WAIT_US = 1_000_000;
 
     private final LongSupplier clock;
     private final ReentrantLock lock = new ReentrantLock();
-    private final Condition posted = lock.newCondition();
     private final ArrayDeque<Runnable> urgent = new ArrayDeque<>();
     private final ArrayDeque<Runnable> ordinary = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -52,6 +51,8 @@
     private long failures;
     private long lateUs;
     private volatile boolean stopped;
+    /** The event thread while it waits, or is about to; null else. */
+    private volatile Thread sleeper;
 
     /**
      * A loop.
@@ -103,10 +104,13 @@
         lock.lock();
         try {
             queue.add(task);
-            posted.signal();
         } finally {
             lock.unlock();
         }
+        Thread waiting = sleeper;
+        if (waiting != null) {
+            LockSupport.unpark(waiting);
+        }
     }
 
     /**
@@ -208,24 +212,19 @@
         }
     }
 
+    /**
+     * Guards a front with a part of a core: a condition's timed wait that runs out while it is signalled spins until
+     * the signalling thread goes on, which on one core may take the rest of its turn; parking does not.
+     */
     private void await() {
-        lock.lock();
-        try {
-            if (!urgent.isEmpty() || !ordinary.isEmpty()) {
-                return;
-            }
-            if (timers.isEmpty()) {
-                posted.await(1, TimeUnit.SECONDS);
-            } else {
-                long waitUs = timers.peek().atUs - now();
-                if (waitUs > 0) {
-                    posted.await(waitUs, TimeUnit.MICROSECONDS);
-                }
+        sleeper = Thread.currentThread();
+        if (size() == 0) {
+            long waitUs = timers.isEmpty() ? MOST_WAIT_US : Math.min(MOST_WAIT_US, timers.peek().atUs - now());
+            if (waitUs > 0) {
+                LockSupport.parkNanos(this, waitUs * 1000);
             }
-        } catch (InterruptedException e) {
-            stopped = true;
-        } finally {
-            lock.unlock();
         }
+        sleeper = null;
+        stopped |= Thread.interrupted();
     }
 }
--- a/src/test/java/petrelplank/ArchitectureTest.java
+++ b/src/test/java/petrelplank/ArchitectureTest.java
@@ -44,4 +44,14 @@
                 "petrelplank.emulator..", "petrelplank.report..", "org.apache.avro..", "org.jfree..",
                 "com.fasterxml.jackson.databind..").check(CLASSES);
     }
+
+    /**
+     * A condition's timed wait that runs out just while it is signalled spins until the signalling thread goes on;
+     * with one core, or a part of one, that thread may be the one that has to wait. Seen as a front that stood still.
+     */
+    @Test
+    void theFrontWaitsOnNoConditionWithATimeOut() {
+        noClasses().should().dependOnClassesThat().areAssignableTo(java.util.concurrent.locks.Condition.class)
+            .check(CLASSES);
+    }
 }
--- a/src/test/java/petrelplank/front/EventLoopTest.java
+++ b/src/test/java/petrelplank/front/EventLoopTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class EventLoopTest {
     private long clock = 1_000_000;
@@ -50,6 +51,24 @@
         assertEquals(List.of("next"), ran);
     }
 
+    /** No post may be slept through, whichever moment of the way to sleep it meets. */
+    @Test
+    @Timeout(60)
+    void everyPostIsRunThoughPostersMeetTheLoopOnItsWayToSleep() throws InterruptedException {
+        EventLoop real = new EventLoop(() -> System.nanoTime() / 1000);
+        Thread events = new Thread(real, "events");
+        events.start();
+        int rounds = 20_000;
+        for (int i = 0; i < rounds; i++) {
+            java.util.concurrent.CountDownLatch done = new java.util.concurrent.CountDownLatch(2);
+            real.post(() -> real.at(real.now() + 20, done::countDown));
+            real.postUrgent(done::countDown);
+            done.await();
+        }
+        real.stop();
+        events.join();
+    }
+
     /** Rounded to 0, a purge's age limit would stand for the class's own limit. */
     @Test
     void ageLimitIsRoundedDownButNeverToNothing() {
