A refused connect is no proof against a cache that answers; a branch's connections bounded

Need: at a cache whose table of connections is full, connects are refused while the connections that stand go on; one refused connect left it out at this front for two connect time-outs, and every front does the same. A connect failure now ejects at once only a server not heard for a connect time-out; else it counts as one of three (Brain.judge). Also, each front kept up to eight connections at each server whatever the number of fronts: eight times 200 fronts is more than a small cache takes. A branch's fronts keep 32 at one server together, or one each where they are more (ServerPool.perServer); three to four fronts keep eight as before.

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -37,7 +37,7 @@
     private static final double HOT = 0.15;
     /** Cells of the table of request counts, and most seen holders; bounds memory. */
     private static final int COUNT_CELLS = 1 << 13;
-    /** Failures in a row that eject a server; one connect failure does so at once. */
+    /** Failures in a row that eject a server; a connect failure of one not heard lately does so at once. */
     private static final int FAILURES = 3;
     /** Errors from so many servers are the request's own fault: it ends, and they are pardoned. */
     private static final int ERRORS = 3;
@@ -260,11 +260,11 @@
      */
     private void failed(Node n, long now, boolean sure, boolean trial) {
         n.failures++;
+        n.unreached = false;
         if (n.ejected ? trial : sure || n.failures >= FAILURES) {
             double first = FIRST_PAUSE * Math.max(1, settings.connectTimeoutUs());
             n.pauseUs = (long) (n.ejected ? Math.min(2 * n.pauseUs, PAUSE_CAP * first / FIRST_PAUSE) : first);
             n.trialAtUs = now + n.pauseUs;
-            n.unreached = sure;
             actions.ejected(n.id, n.ejected, n.pauseUs);
             log(now, (n.ejected ? "trial failed: " : "ejected: ") + n.id + ", ms " + n.pauseUs / 1000);
             n.ejected = true;
@@ -834,7 +834,11 @@
                     }
                 }
             }
-            case CONNECT_FAILED -> failed(t.node, now, true, t.trial);
+            case CONNECT_FAILED -> {
+                // Guards a good cache whose table of connections is full: it answers on those it has.
+                failed(t.node, now, now - t.node.heardUs > settings.connectTimeoutUs(), t.trial);
+                t.node.unreached = true;
+            }
             case FULL, MISS -> quickestUs = Math.min(quickestUs, Math.max(1, o.latencyUs()));
             case RESET -> {
                 // Guards good servers: a connection that breaks ends all that is out on it: one failure.
--- a/src/main/java/petrelplank/decision/Node.java
+++ b/src/main/java/petrelplank/decision/Node.java
@@ -17,7 +17,7 @@
     /** Failures in a row. */
     int failures;
     boolean ejected;
-    /** It was left out since no connection was made, or a fill was slow: one failure that tells all. */
+    /** Its last failure was that no connection was made. */
     boolean unreached;
     long trialAtUs;
     long pauseUs;
--- a/src/main/java/petrelplank/server/ServerPool.java
+++ b/src/main/java/petrelplank/server/ServerPool.java
@@ -36,6 +36,8 @@
      */
     private static final int FEW = 2;
     private static final int MOST_PER_SERVER = 8;
+    /** Connections that all fronts of a branch keep at one server, as long as they are no more than that themselves. */
+    private static final int MOST_OF_BRANCH = 32;
     /** An answer of which nothing more comes over so many sweeps has stopped short; 36 ms were seen on good days. */
     private static final int STUCK_SWEEPS = 4;
     private static final long SWEEP_US = 75_000;
@@ -52,8 +54,21 @@
      * @param streams attempts open on one connection
      * @param connectUs a connection not made in this time has failed
      * @param idleUs servers close idle connections after this time
+     * @param perServer connections kept at one server, from 1; see {@link #perServer}
      */
-    public record Limits(Share share, int streams, long connectUs, long idleUs) { }
+    public record Limits(Share share, int streams, long connectUs, long idleUs, int perServer) { }
+
+    /**
+     * How many connections a front keeps at one server, besides those that carry one request that can't be sent
+     * again. What is harmless for one front fills a server's table when every front does it: a branch's fronts keep
+     * 32 together, or one each where there are more of them.
+     *
+     * @param fronts of the branch, that share its caches; 0 where it is not told
+     * @return from 1 to 8
+     */
+    public static int perServer(int fronts) {
+        return fronts <= 0 ? MOST_PER_SERVER : Math.max(1, Math.min(MOST_PER_SERVER, MOST_OF_BRANCH / fronts));
+    }
 
     private final EventLoop loop;
     private final Relay relay;
@@ -172,7 +187,7 @@
         // One that takes nothing new must not keep a fresh one out: it closes once nothing is open on it.
         long taking = server.connections.stream().filter(c -> !c.retiring).count();
         boolean full = best == null || best.load() >= FEW && limits.share().held() < limits.share().most() / 2;
-        if (full && taking < MOST_PER_SERVER && limits.share().free() > 0) {
+        if (full && taking < limits.perServer() && limits.share().free() > 0) {
             best = connect(server);
         }
         return best;
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -826,4 +826,52 @@
         }
         return told.sent.stream().filter(s -> s.order().server().equals(s.order().source())).count();
     }
+
+    /** A full table of connections refuses new ones, while the cache answers on those it has. */
+    @Test
+    void refusedConnectionIsNoProofAgainstACacheThatAnswers() {
+        for (int i = 0; i < 20; i++) {
+            host.end(host.ask(i), Status.OK, Note.HIT, 20 * MS);
+        }
+        String id = host.ask(7);
+        String full = host.last().server();
+        host.end(id, Status.CONNECT_FAILED, Note.NONE, 0);
+        host.end(id, Status.OK, Note.FILLED, 20 * MS);
+        host.end(host.ask(7), Status.OK, Note.HIT, 20 * MS);
+        assertEquals(full, host.last().server());
+        assertEquals(List.of(), host.lines);
+    }
+
+    /** A drain told while most of the branch is cold leaves cold caches alone, and their budgets hold. */
+    @Test
+    void drainWhileMostOfTheBranchIsColdKeepsTheBudgetsOfTheRest() {
+        host.change(cache("a", host.now), cache("b", host.now), cache("c", host.now));
+        host.change(new Member("d", "office", "box", 0, State.DRAINING, 5, 0));
+        host.sent.clear();
+        for (int i = 0; i < 300; i++) {
+            String id = host.ask(i);
+            assertTrue(host.attempts(id) > 0 || host.answered(id), id);
+            host.now += 2 * MS;
+        }
+        for (String cold : List.of("a", "b", "c")) {
+            // Two fronts share it: 0.45 of 2.5 times a fifth of five transfers, for 2 s and the 0.6 s that went by.
+            long work = host.sent.stream().filter(s -> s.order().server().equals(cold)).count() * 100 * MS;
+            assertTrue(work <= 0.45 * 2.5 * 0.25 * 5 / 2 * 2.6 * S, cold + " " + work);
+        }
+        assertTrue(host.sent.stream().noneMatch(s -> s.order().server().equals("d")));
+    }
+
+    /** Lists with doubled and unknown ids, and a server that goes and comes back, lose nothing. */
+    @Test
+    void oddListsAreTakenAsTheyStand() {
+        host.change(cache("a", 0), cache("a", 0), new Member("nobody", "office", "box", 0, State.GONE, 5, 0));
+        host.change(new Member("b", "office", "box", 0, State.GONE, 5, 0));
+        String id = host.ask(1);
+        host.change(new Member("b", "office", "box", 0, State.GONE, 5, 0), cache("b", host.now));
+        host.end(id, Status.OK, Note.FILLED, 110 * MS);
+        Set<String> servers = new TreeSet<>();
+        host.now += 20 * S;
+        host.fills(0, 200).forEach(o -> servers.add(o.server()));
+        assertEquals(Set.of("a", "b", "c", "d"), servers);
+    }
 }
--- /dev/null
+++ b/src/test/java/petrelplank/server/ServerPoolTest.java
@@ -0,0 +1,21 @@
+package petrelplank.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class ServerPoolTest {
+    /** However many fronts a branch gets, what they keep at one server has a bound: 32, or one each. */
+    @Test
+    void connectionsOfAllFrontsAtOneServerAreBounded() {
+        int before = 9;
+        for (int fronts = 1; fronts <= 1000; fronts++) {
+            int each = ServerPool.perServer(fronts);
+            assertTrue(each >= 1 && each <= before, "fronts " + fronts + " keep " + each);
+            assertTrue(each * fronts <= Math.max(32, fronts), "fronts " + fronts + " keep " + each);
+            before = each;
+        }
+        assertEquals(8, ServerPool.perServer(0));
+    }
+}
