--- a/src/main/java/petrelplank/cli/ScenariosCommand.java
+++ b/src/main/java/petrelplank/cli/ScenariosCommand.java
@@ -1,6 +1,7 @@
 package petrelplank.cli;
 
 import java.io.IOException;
+import java.util.stream.Stream;
 import petrelplank.emulator.Scenario;
 
 /** {@code scenarios}: lists the bundled ones. */
@@ -10,7 +11,7 @@
 
     @Override
     public int run() throws IOException {
-        for (String name : Scenario.bundled()) {
+        for (String name : Stream.concat(Scenario.bundled().stream(), Scenario.fleet().stream()).toList()) {
             System.out.printf("%-15s %s%n", name, Scenario.of(name).title());
         }
         return 0;
--- a/src/main/java/petrelplank/emulator/Box.java
+++ b/src/main/java/petrelplank/emulator/Box.java
@@ -84,6 +84,11 @@
         return new Box(clock, random, id, zone, "hub", s.hubWeight(), s.hubBytes(), FILL_PACE);
     }
 
+    /** Another of its kind and place, under a new id, not started yet. */
+    Box successor(Scenario s) {
+        return kind.equals("hub") ? hub(clock, random, id + "-new", zone, s) : cache(clock, random, id + "-new", zone, s);
+    }
+
     long startedUs() {
         return startedUs;
     }
--- a/src/main/java/petrelplank/emulator/Scenario.java
+++ b/src/main/java/petrelplank/emulator/Scenario.java
@@ -43,6 +43,8 @@
                        long clockSpreadUs, List<Trouble> troubles) {
     private static final Set<String> BUNDLED = Set.of("calm", "silent-hub", "silent-cache", "fast-failures", "purge",
         "slow-stock", "stock-over", "restart", "crowded-link", "drain");
+    /** Incidents of a fleet of many fronts, played by tests of their own. */
+    private static final Set<String> FLEET = Set.of("fleet-zone", "fleet-join", "fleet-list");
     /** The scenario played where none is named. */
     public static final String FIRST = "silent-hub";
     private static final long HOUR_US = 3_600_000_000L;
@@ -63,6 +65,12 @@
         RESTART,
         /** A cache drains, and is gone at the end. */
         DRAIN,
+        /** Servers vanish without a word, and return cold at the end, told a while later. */
+        LOST,
+        /** Servers are replaced one by one over the trouble's length: a new one starts cold, the old one drains. */
+        REPLACE,
+        /** The coordinator tells nothing, and all at once at the end. */
+        LATE_LIST,
         /** Others call the central stock, at a multiple of what it can do. */
         OUTSIDE_LOAD,
         /** The link into a branch has a share of its width. */
@@ -89,6 +97,27 @@
         return BUNDLED.stream().sorted().toList();
     }
 
+    /**
+     * The names of the incidents of a fleet of many fronts.
+     *
+     * @return in order
+     */
+    public static List<String> fleet() {
+        return FLEET.stream().sorted().toList();
+    }
+
+    /**
+     * The same incident, caches and load with another number of fronts: each sees more or less of it.
+     *
+     * @param fronts of each branch, from 1
+     * @return the scenario
+     */
+    public Scenario withFrontsPerBranch(int fronts) {
+        return new Scenario(name, title, lengthUs, branches, fronts, cachesPerBranch, hubs, cachesPerHub,
+            requestsPerSecond, objects, groups, skew, cacheBytes, hubBytes, cacheWeight, hubWeight, linkWeight,
+            centralPerSecond, centralUs, purgesPerSecond, clockSpreadUs, troubles);
+    }
+
     /**
      * A bundled scenario or one from a file.
      *
@@ -97,12 +126,12 @@
      * @throws IOException where the file can't be read
      */
     public static Scenario of(String nameOrFile) throws IOException {
-        if (BUNDLED.contains(nameOrFile)) {
+        if (BUNDLED.contains(nameOrFile) || FLEET.contains(nameOrFile)) {
             return of(Yaml.resource("/petrelplank/emulator/" + nameOrFile + ".yaml"));
         }
         if (!Files.isRegularFile(Path.of(nameOrFile))) {
             throw new IOException(nameOrFile + ": no such file, and no bundled scenario (there are "
-                + String.join(", ", bundled()) + ")");
+                + String.join(", ", bundled()) + ", " + String.join(", ", fleet()) + ")");
         }
         return of(Yaml.read(Path.of(nameOrFile)));
     }
@@ -118,14 +147,14 @@
         String title = s.text("title", name);
         long length = s.durationUs("length", 40_000_000, 1_000_000, HOUR_US);
         int branches = (int) s.whole("branches", 3, 1, 200);
-        int fronts = (int) s.whole("fronts-per-branch", 2, 1, 16);
+        int fronts = (int) s.whole("fronts-per-branch", 2, 1, 100);
         int caches = (int) s.whole("caches-per-branch", 4, 1, 64);
         int hubs = (int) s.whole("hubs", 3, 1, 60);
         int hubCaches = (int) s.whole("caches-per-hub", 1, 1, 16);
         List<Trouble> troubles = new ArrayList<>();
         for (Section t : s.sections("troubles")) {
             Kind kind = Kind.valueOf(t.word("kind", "silent", Set.of("silent", "fast-failures", "purge", "hot-object",
-                "slow-stock", "restart", "drain", "crowded-link", "outside-load")).toUpperCase(java.util.Locale.ROOT).replace('-', '_'));
+                "slow-stock", "restart", "drain", "crowded-link", "outside-load", "lost", "replace", "late-list")).toUpperCase(java.util.Locale.ROOT).replace('-', '_'));
             long at = t.durationUs("at", length / 4, 0, length);
             long lasts = t.durationUs("for", length / 4, 0, HOUR_US);
             List<String> servers = t.texts("servers");
@@ -135,7 +164,7 @@
                 }
             }
             boolean central = kind == Kind.PURGE || kind == Kind.HOT_OBJECT || kind == Kind.SLOW_STOCK
-                || kind == Kind.OUTSIDE_LOAD;
+                || kind == Kind.OUTSIDE_LOAD || kind == Kind.LATE_LIST;
             if (central != servers.isEmpty()) {
                 throw t.wrong("servers", central ? "a trouble of this kind names none" : "a trouble of this kind "
                     + "names at least one");
--- a/src/main/java/petrelplank/emulator/World.java
+++ b/src/main/java/petrelplank/emulator/World.java
@@ -46,6 +46,9 @@
     private static final long HUB_US = 4_000;
     private static final long CENTRAL_US = 12_000;
     private static final long TAIL_US = 8_000_000;
+    /** A new server is listed so long after its start; an old one leaves so long after it was told to drain. */
+    private static final long LISTED_US = 800_000;
+    private static final long LEAVES_US = 6_000_000;
     private static final int KIB = 1024;
 
     private final Scenario scenario;
@@ -65,6 +68,8 @@
     private final Map<String, Catalogue.Item> items = new HashMap<>();
     private long requests;
     private int lives;
+    /** Until then the coordinator tells nothing. */
+    private long heldUntilUs;
 
     /**
      * A fleet at rest.
@@ -188,7 +193,8 @@
     private void announce(ListEvent event) {
         told.add(event);
         for (EmulatedFront front : List.copyOf(fronts.values())) {
-            clock.after(30_000 + random.nextInt(200_000), () -> {
+            long late = Math.max(0, heldUntilUs - clock.now());
+            clock.after(late + 30_000 + random.nextInt(200_000), () -> {
                 // In order, whatever the way took: the number says what is still missing.
                 if (event.index() > front.listIndex()) {
                     told.stream().filter(e -> e.index() > front.listIndex() && e.index() <= event.index()).toList()
@@ -344,14 +350,42 @@
                 clock.at(to, () -> announce(new ListEvent.Change(told.size() + 1, false,
                     list(State.GONE, t.servers()))));
             }
+            case LOST -> during(t, box -> box.silent(true), box -> {
+                box.silent(false);
+                box.start();
+                clock.after(LISTED_US, () -> announce(new ListEvent.Change(told.size() + 1, false,
+                    list(State.UP, List.of(box.id)))));
+            });
+            case REPLACE -> {
+                for (int i = 0; i < t.servers().size(); i++) {
+                    Box old = boxes.get(t.servers().get(i));
+                    clock.at(from + t.forUs() * i / t.servers().size(), () -> replace(old));
+                }
+            }
+            case LATE_LIST -> clock.at(from, () -> heldUntilUs = to);
             default -> throw new IllegalStateException(t.kind().toString());
         }
-        if (t.kind() != Scenario.Kind.DRAIN && t.kind() != Scenario.Kind.OUTSIDE_LOAD) {
+        if (t.kind() != Scenario.Kind.DRAIN && t.kind() != Scenario.Kind.REPLACE && t.kind() != Scenario.Kind.OUTSIDE_LOAD) {
             truth.trouble(t.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'), t.servers(), from,
                 t.kind() == Scenario.Kind.PURGE ? from : to);
         }
     }
 
+    /** A new box starts cold beside an old one, which drains, and is gone a while later. */
+    private void replace(Box old) {
+        Box box = old.successor(scenario);
+        add(box);
+        box.start();
+        clock.after(LISTED_US, () -> {
+            announce(new ListEvent.Change(told.size() + 1, false, list(State.UP, List.of(box.id))));
+            announce(new ListEvent.Change(told.size() + 1, false, list(State.DRAINING, List.of(old.id))));
+        });
+        clock.after(LISTED_US + LEAVES_US, () -> {
+            announce(new ListEvent.Change(told.size() + 1, false, list(State.GONE, List.of(old.id))));
+            old.silent(true);
+        });
+    }
+
     private void during(Trouble t, Consumer<Box> begin, Consumer<Box> end) {
         for (String id : t.servers()) {
             clock.at(Clockwork.START_US + t.atUs(), () -> begin.accept(boxes.get(id)));
--- /dev/null
+++ b/src/test/java/petrelplank/record/TraceSinkTest.java
@@ -0,0 +1,34 @@
+package petrelplank.record;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import petrelplank.decision.Router.Note;
+import petrelplank.decision.Router.State;
+import petrelplank.decision.Router.Status;
+
+class TraceSinkTest {
+    @Test
+    void eachEventIsALineOfFieldsAndNothingIsKeptBack() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        TraceSink sink = new TraceSink(new PrintStream(bytes, false, StandardCharsets.UTF_8));
+        sink.record(1_000_000, new Event.Taken(0xab, "pages", 0xcd, 7));
+        sink.record(1_000_010, new Event.Sent(0xab, 0, "pages", "s-1", null, 0xcd, 7));
+        sink.record(1_050_000, new Event.Ended(0xab, 0, "pages", "s-1", null, 0xcd, 7, Status.OK, Note.HIT, 49_990, 0,
+            900, 512, List.of(1.5)));
+        sink.record(1_060_000, new Event.Listed(3, false, List.of(new Event.Server("s-1", "edge", "box",
+            State.DRAINING, 5, 0))));
+        sink.record(1_070_000, new Event.Finished());
+        sink.close();
+        assertEquals("""
+            @1000000\ttaken\tab\tpages\tcd\t7
+            @1000010\tsent\tab\t0\tpages\ts-1\t-
+            @1050000\tended\tab\t0\tpages\ts-1\t-\tOK\tHIT\t49990\t0\t512\t[1.5]
+            @1060000\tlisted\t3\ts-1\tedge\tbox\tDRAINING\t5.0\t0
+            """, bytes.toString(StandardCharsets.UTF_8));
+    }
+}
