--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -521,4 +521,28 @@
         Files.writeString(file, Files.readString(file).replaceFirst("\\{", "{\"flow_bytes_per_s\":20480,"));
         assertEquals(20, Configuration.read(file.toFile()).settings().flowKbPerS());
     }
+
+    /** A list told late and in one burst: two successions at one address within one write, with a request open. */
+    @Test
+    void burstOfSuccessorsAtOneAddressKeepsTheOpenRequestAndAsksTheLast() throws IOException, InterruptedException {
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
+        FakeServer.Line open = cache.next();
+        StringBuilder burst = new StringBuilder();
+        for (int i = 1; i <= 2; i++) {
+            burst.append("{\"index\":").append(i + 1).append(",\"endpoints\":{\"reset\":false,\"instances\":[")
+                .append(entry("c-" + i, cache, "edge-1", "box", "left")).append(",")
+                .append(entry("c-" + (i + 1), cache, "edge-1", "box", "active")).append("]}}\n");
+        }
+        follow.reply(burst + "{\"index\":4,\"endpoints\":{\"reset\":false,\"instances\":["
+            + entry("nobody", cache, "edge-1", "box", "left") + "]}}\n");
+        follow.socket().shutdownOutput();
+        assertEquals("follow 4", coordinator.next().text());
+        ask(2, "bbbbbbbbbbbbbbbb", "media");
+        FakeServer.Line second = cache.next();
+        assertTrue(second.socket() != open.socket());
+        second.reply("bbbbbbbbbbbbbbbb ACK tell=HIT 3\r\ntwo\r\n");
+        assertTrue(client.answer().endsWith("two"));
+        open.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+    }
 }
