--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -94,7 +94,7 @@
         acceptor.setBacklog(BACKLOG);
         ServerPool.Limits limits = new ServerPool.Limits(ofServers, c.streams(),
             Math.max(LEAST_CONNECT_US, c.settings().connectTimeoutUs()), c.idleUs(),
-            ServerPool.perServer(frontsOfBranch(c.settings())));
+            ServerPool.perServer(c.settings().sharers()));
         front = new Front(loop, c.settings(), c.seed(), OPEN_PER_MB * c.memoryMb(), sink, (l, relay) -> {
             pool = new ServerPool(l, relay, toServers, limits, c.settings().reportFields());
             return pool;
@@ -111,11 +111,6 @@
         clients = new ClientAcceptor(loop, front, acceptor, ofClients, (long) c.memoryMb() << 20);
     }
 
-    private static int frontsOfBranch(Settings s) {
-        int at = s.zones().indexOf(s.zone());
-        return at < s.zoneGateways().size() ? s.zoneGateways().get(at) : s.gateways();
-    }
-
     /** Listens and follows the coordinator; ready once the event thread runs. */
     void open(InetSocketAddress address) throws IOException {
         clients.listen(address);
--- a/src/main/java/petrelplank/cli/Serve.java
+++ b/src/main/java/petrelplank/cli/Serve.java
@@ -7,7 +7,7 @@
 import java.util.logging.Logger;
 import org.kohsuke.args4j.Option;
 import petrelplank.record.Event;
-import petrelplank.record.TraceSink;
+import petrelplank.record.FileSink;
 import petrelplank.settings.Addresses;
 import petrelplank.settings.Configuration;
 import petrelplank.settings.FormatException;
@@ -26,7 +26,7 @@
     @Option(name = "--operator", metaVar = "FILE", usage = "the operator's YAML file; nothing of it is on without")
     private File operator;
 
-    @Option(name = "--trace", usage = "each event as a line on standard error; costs processor time, for a close look")
+    @Option(name = "--trace", forbids = "--operator", usage = "each event as a line on standard error; costs processor time, for a close look")
     private boolean trace;
 
     /** For args4j, which makes it by reflection. */
@@ -43,7 +43,7 @@
             if (operator != null && !operator.isFile()) {
                 return unusable(operator + ": no such file");
             }
-            Event.Sink sink = trace ? new TraceSink(System.err)
+            Event.Sink sink = trace ? FileSink.trace(System.err, c.name())
                 : operator == null ? null : Records.sink(operator, c.name());
             front = new RunningFront(c, Serve::unixUs, sink);
             Signals.on("HUP", () -> reload(front, new File(config)));
--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -159,8 +159,7 @@
         this.random = new SplittableRandom(seed);
         this.classWorkUs = new double[settings.classes().size()];
         int at = settings.zones().indexOf(settings.zone());
-        this.sharers = at < settings.zoneGateways().size() && settings.zoneGateways().get(at) > 0
-            ? settings.zoneGateways().get(at) : settings.gateways();
+        this.sharers = settings.sharers();
         this.fills = new Limit(sharers);
         boolean weighed = settings.weights() == Weights.NOMINAL || settings.weights() == Weights.ROUGH;
         this.inHandAt = weighed ? settings.reportFields().indexOf("concurrent") : -1;
--- a/src/main/java/petrelplank/decision/Router.java
+++ b/src/main/java/petrelplank/decision/Router.java
@@ -372,6 +372,16 @@
                     List<Integer> zoneHub, List<Double> zoneLinkKbPerS, String parentKind, String originKind,
                     double flowKbPerS, Weights weights, Notes notes, List<String> reportFields, boolean subscribe,
                     long connectTimeoutUs, List<ServiceClass> classes, Allowed allowed, Rules rules) {
+        /**
+         * How many gateways share what belongs to the own zone.
+         *
+         * @return those of the zone; all of them where the zone's are not told, or told as none
+         */
+        public int sharers() {
+            int at = zones.indexOf(zone);
+            return at < zoneGateways.size() && zoneGateways.get(at) > 0 ? zoneGateways.get(at) : gateways;
+        }
+
         /** Checks and copies the figures. */
         public Settings {
             require(gateways > 0, "gateways", gateways);
--- a/src/main/java/petrelplank/front/EventLoop.java
+++ b/src/main/java/petrelplank/front/EventLoop.java
@@ -225,6 +225,8 @@
             }
         }
         sleeper = null;
-        stopped |= Thread.interrupted();
+        if (Thread.interrupted()) {
+            stopped = true;
+        }
     }
 }
--- a/src/main/java/petrelplank/record/FileSink.java
+++ b/src/main/java/petrelplank/record/FileSink.java
@@ -1,6 +1,7 @@
 package petrelplank.record;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -16,13 +17,14 @@
 public final class FileSink implements Event.Sink {
     private static final Logger LOG = Logger.getLogger(FileSink.class.getName());
     private static final int BATCH = 512;
+    private static final int TRACE_QUEUED = 16_384;
     private static final long LOOK_NS = 50_000_000;
     private static final long CLOSE_MS = 100;
     private static final int LOGGED_ONE_IN = 1000;
 
     private final String front;
     private final long life;
-    private final Log log;
+    private final Output log;
     private final ArrayBlockingQueue<Entry> queue;
     private final Thread writer;
     private volatile boolean closed;
@@ -42,14 +44,25 @@
      * @param life this life's random number
      */
     public FileSink(RecordSettings settings, String front, long life) {
-        this(settings, front, life, new Log(settings, front, life));
+        this(settings.queued(), front, life, new Log(settings, front, life));
     }
 
-    FileSink(RecordSettings settings, String front, long life, Log log) {
+    /**
+     * Starts a writer of lines of text, see {@link TraceLines}: nothing of it is left to the event thread but to queue.
+     *
+     * @param out takes whole lines; it may block
+     * @param front the front's name
+     * @return the sink
+     */
+    public static FileSink trace(PrintStream out, String front) {
+        return new FileSink(TRACE_QUEUED, front, 0, new TraceLines(out));
+    }
+
+    FileSink(int queued, String front, long life, Output log) {
         this.front = front;
         this.life = life;
         this.log = log;
-        this.queue = new ArrayBlockingQueue<>(settings.queued());
+        this.queue = new ArrayBlockingQueue<>(queued);
         this.writer = new Thread(this::write, "records");
         writer.setDaemon(true);
         writer.start();
--- a/src/main/java/petrelplank/record/Log.java
+++ b/src/main/java/petrelplank/record/Log.java
@@ -20,7 +20,7 @@
  * A front's record files in a directory: Avro object container files, cut by size and age, the oldest of the front
  * removed where all together would pass the bound. One thread at a time; reads no clock.
  */
-final class Log {
+final class Log implements Output {
     /** The ending of record files. */
     static final String ENDING = ".records.avro";
     /** Bytes between sync markers: what a file cut off may lose. */
@@ -69,7 +69,8 @@
      * @param e the entry
      * @throws IOException once for each file that is given up or can't be made
      */
-    void append(Entry e) throws IOException {
+    @Override
+    public void append(Entry e) throws IOException {
         try {
             if (writer != null && (e.unixUs() - openedUs > settings.ageUs() || full())) {
                 close();
@@ -158,7 +159,8 @@
     }
 
     /** Writes out what stands in memory; where that fails, the file is given up. */
-    void flush() throws IOException {
+    @Override
+    public void flush() throws IOException {
         if (writer != null) {
             try {
                 writer.flush();
@@ -170,7 +172,8 @@
         }
     }
 
-    void close() throws IOException {
+    @Override
+    public void close() throws IOException {
         if (writer != null) {
             DataFileWriter<Entry> open = writer;
             writer = null;
@@ -184,7 +187,8 @@
      *
      * @return how many
      */
-    long takeLost() {
+    @Override
+    public long takeLost() {
         long now = lost;
         lost = 0;
         return now;
--- a/src/main/java/petrelplank/record/TraceSink.java
+++ b/src/main/java/petrelplank/record/TraceLines.java
@@ -3,32 +3,25 @@
 import java.io.PrintStream;
 
 /**
- * Writes events as lines of text while they happen, for a look at a fleet through its logs alone, where no disk is
- * left: {@code serve --trace}. A line is {@code @}, the Unix microsecond, the kind, then its fields, separated by
- * tabs; what is absent is {@code -}. Event thread only. Written with as little work as possible, since on a small
- * part of a core the looking changes what is seen; still it costs, and it is off unless asked for.
+ * Events as lines of text, for a look at a fleet through its logs alone, where no disk is left: {@code serve --trace}.
+ * A line is {@code @}, the Unix microsecond, the kind, then its fields, separated by tabs; what is absent is {@code -};
+ * {@code lost} tells how many events the writer could not keep up with. Of the writer's thread alone.
  */
-public final class TraceSink implements Event.Sink {
+final class TraceLines implements Output {
     /** So many characters are written together. */
     private static final int BATCH = 4096;
-    /** Lines wait no longer than this. */
-    private static final long FLUSH_US = 200_000;
 
     private final PrintStream out;
     private final StringBuilder lines = new StringBuilder(2 * BATCH);
-    private long writtenUs;
 
-    /**
-     * Writes to a stream.
-     *
-     * @param out takes whole lines
-     */
-    public TraceSink(PrintStream out) {
+    TraceLines(PrintStream out) {
         this.out = out;
     }
 
     @Override
-    public void record(long unixUs, Event event) {
+    public void append(Entry entry) {
+        long unixUs = entry.unixUs();
+        Event event = entry.event();
         if (event instanceof Event.Sent e) {
             line(unixUs, "sent", Long.toHexString(e.request()), e.attempt(), e.type(), e.server(), e.source());
         } else if (event instanceof Event.Ended e) {
@@ -54,12 +47,13 @@
             line(unixUs, "started", e.zone());
         } else if (event instanceof Event.Pulse e) {
             line(unixUs, "pulse", e.open(), e.queued(), e.lateUs());
+        } else if (event instanceof Event.Lost e) {
+            line(unixUs, "lost", e.events());
         } else if (event instanceof Event.TurnedAway e) {
             line(unixUs, "turned", e.request(), e.type(), e.kind());
         }
-        if (lines.length() >= BATCH || unixUs - writtenUs > FLUSH_US) {
-            writtenUs = unixUs;
-            write();
+        if (lines.length() >= BATCH) {
+            flush();
         }
     }
 
@@ -76,14 +70,22 @@
         lines.append('\n');
     }
 
-    private void write() {
-        out.print(lines);
-        out.flush();
-        lines.setLength(0);
+    @Override
+    public void flush() {
+        if (lines.length() > 0) {
+            out.print(lines);
+            out.flush();
+            lines.setLength(0);
+        }
+    }
+
+    @Override
+    public long takeLost() {
+        return 0;
     }
 
     @Override
     public void close() {
-        write();
+        flush();
     }
 }
--- a/src/main/java/petrelplank/server/ServerPool.java
+++ b/src/main/java/petrelplank/server/ServerPool.java
@@ -63,11 +63,11 @@
      * again. What is harmless for one front fills a server's table when every front does it: a branch's fronts keep
      * 32 together, or one each where there are more of them.
      *
-     * @param fronts of the branch, that share its caches; 0 where it is not told
+     * @param fronts of the branch, that share its caches, from 1
      * @return from 1 to 8
      */
     public static int perServer(int fronts) {
-        return fronts <= 0 ? MOST_PER_SERVER : Math.max(1, Math.min(MOST_PER_SERVER, MOST_OF_BRANCH / fronts));
+        return Math.max(1, Math.min(MOST_PER_SERVER, MOST_OF_BRANCH / fronts));
     }
 
     private final EventLoop loop;
--- a/src/main/java/petrelplank/settings/Setup.java
+++ b/src/main/java/petrelplank/settings/Setup.java
@@ -29,6 +29,9 @@
      * @return the settings, with all rates in the bytes of the sockets
      */
     static Settings settings(Fields setup, double flowBytesPerS) {
+        if (!(flowBytesPerS >= 0)) {
+            throw new FormatException("configuration: \"flow_bytes_per_s\" should be 0 or more, found " + flowBytesPerS);
+        }
         Fields caps = child(setup, "caps");
         Fields rules = child(setup, "rules");
         Fields info = setup.has("family-info") ? child(setup, "family-info") : new Fields(Map.of(), "family-info");
--- a/src/test/java/petrelplank/cli/CommandLineTest.java
+++ b/src/test/java/petrelplank/cli/CommandLineTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -26,6 +27,14 @@
         }
     }
 
+    /** One would silently leave the other out. */
+    @Test
+    void traceAndRecordsTogetherAreTurnedDown() {
+        CmdLineException e = assertThrows(CmdLineException.class,
+            () -> Main.command("serve", "--trace", "--operator", "operator.yaml"));
+        assertTrue(e.getMessage().contains("--trace") && e.getMessage().contains("--operator"), e.getMessage());
+    }
+
     @Test
     void unusableConfigurationEndsServeWithStatusTwo(@TempDir Path folder) throws IOException, CmdLineException {
         Path file = folder.resolve("config.json");
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -28,6 +28,7 @@
 import petrelplank.record.Event;
 import petrelplank.server.FakeServer;
 import petrelplank.settings.Configuration;
+import petrelplank.settings.FormatException;
 
 /** The whole front on loopback sockets, against scripted peers. Time-outs here only end a test that has failed. */
 class LoopbackTest {
@@ -520,6 +521,9 @@
         assertEquals(8000, Configuration.read(file.toFile()).settings().flowKbPerS());
         Files.writeString(file, Files.readString(file).replaceFirst("\\{", "{\"flow_bytes_per_s\":20480,"));
         assertEquals(20, Configuration.read(file.toFile()).settings().flowKbPerS());
+        Files.writeString(file, Files.readString(file).replace("20480", "-1"));
+        assertTrue(assertThrows(FormatException.class, () -> Configuration.read(file.toFile())).getMessage()
+            .contains("flow_bytes_per_s"));
     }
 
     /** A list told late and in one burst: two successions at one address within one write, with a request open. */
--- a/src/test/java/petrelplank/record/RecordTest.java
+++ b/src/test/java/petrelplank/record/RecordTest.java
@@ -164,7 +164,7 @@
             }
             return Files.newOutputStream(file);
         });
-        FileSink sink = new FileSink(tight, "front-1", 42, stuck);
+        FileSink sink = new FileSink(tight.queued(), "front-1", 42, stuck);
         for (int i = 0; i < 1000; i++) {
             sink.record(FROM + i, new Event.Left(i));
         }
@@ -279,7 +279,7 @@
             }
             return Files.newOutputStream(file);
         });
-        FileSink sink = new FileSink(quick, "front-1", 42, log);
+        FileSink sink = new FileSink(quick.queued(), "front-1", 42, log);
         for (int i = 0; i < 40; i++) {
             sink.record(FROM + i, new Event.Left(i));
         }
--- a/src/test/java/petrelplank/record/TraceSinkTest.java
+++ b/src/test/java/petrelplank/record/TraceLinesTest.java
@@ -11,24 +11,30 @@
 import petrelplank.decision.Router.State;
 import petrelplank.decision.Router.Status;
 
-class TraceSinkTest {
+class TraceLinesTest {
+    private static void entry(TraceLines lines, long unixUs, Event event) {
+        lines.append(new Entry("f", 0, 0, unixUs, event));
+    }
+
     @Test
     void eachEventIsALineOfFieldsAndNothingIsKeptBack() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        TraceSink sink = new TraceSink(new PrintStream(bytes, false, StandardCharsets.UTF_8));
-        sink.record(1_000_000, new Event.Taken(0xab, "pages", 0xcd, 7));
-        sink.record(1_000_010, new Event.Sent(0xab, 0, "pages", "s-1", null, 0xcd, 7));
-        sink.record(1_050_000, new Event.Ended(0xab, 0, "pages", "s-1", null, 0xcd, 7, Status.OK, Note.HIT, 49_990, 0,
+        TraceLines lines = new TraceLines(new PrintStream(bytes, false, StandardCharsets.UTF_8));
+        entry(lines, 1_000_000, new Event.Taken(0xab, "pages", 0xcd, 7));
+        entry(lines, 1_000_010, new Event.Sent(0xab, 0, "pages", "s-1", null, 0xcd, 7));
+        entry(lines, 1_050_000, new Event.Ended(0xab, 0, "pages", "s-1", null, 0xcd, 7, Status.OK, Note.HIT, 49_990, 0,
             900, 512, List.of(1.5)));
-        sink.record(1_060_000, new Event.Listed(3, false, List.of(new Event.Server("s-1", "edge", "box",
+        entry(lines, 1_060_000, new Event.Listed(3, false, List.of(new Event.Server("s-1", "edge", "box",
             State.DRAINING, 5, 0))));
-        sink.record(1_070_000, new Event.Finished());
-        sink.close();
+        entry(lines, 1_070_000, new Event.Finished());
+        entry(lines, 1_080_000, new Event.Lost(3));
+        lines.close();
         assertEquals("""
             @1000000\ttaken\tab\tpages\tcd\t7
             @1000010\tsent\tab\t0\tpages\ts-1\t-
             @1050000\tended\tab\t0\tpages\ts-1\t-\tOK\tHIT\t49990\t0\t512\t[1.5]
             @1060000\tlisted\t3\ts-1\tedge\tbox\tDRAINING\t5.0\t0
+            @1080000\tlost\t3
             """, bytes.toString(StandardCharsets.UTF_8));
     }
 }
--- a/src/test/java/petrelplank/server/ServerPoolTest.java
+++ b/src/test/java/petrelplank/server/ServerPoolTest.java
@@ -16,6 +16,6 @@
             assertTrue(each * fronts <= Math.max(32, fronts), "fronts " + fronts + " keep " + each);
             before = each;
         }
-        assertEquals(8, ServerPool.perServer(0));
+        assertEquals(8, ServerPool.perServer(1));
     }
 }
