--- a/src/main/java/petrelplank/emulator/Truth.java
+++ b/src/main/java/petrelplank/emulator/Truth.java
@@ -235,7 +235,13 @@
         peers.forEach((id, p) -> servers.put(id, p.tree()));
         t.put("servers", servers);
         Map<String, Object> calls = new LinkedHashMap<>();
-        central.forEach((s, c) -> calls.put(s.toString(), Map.of("calls", c[0], "failed", c[1])));
+        central.forEach((s, c) -> {
+            // In order: a Map.of would name its keys in another order in another process.
+            Map<String, Object> second = new LinkedHashMap<>();
+            second.put("calls", c[0]);
+            second.put("failed", c[1]);
+            calls.put(s.toString(), second);
+        });
         t.put("central", calls);
         Map<String, Object> purged = new LinkedHashMap<>();
         purges.forEach((i, times) -> purged.put(i.toString(), span(times)));
