Calls to the coordinator after a break back off with jitter, a 2 s cap and a budget

Seen: serve against a coordinator that is not there logged 'coordinator not reached, following again from 0, 26 so far' after 5 s and 51 after 10 s: Follower called again every 200 ms (AGAIN_US), the same wait at every front, so fronts that lose the coordinator together call it five times a second in step, and a stream that speaks and breaks at once is called without end. Change: package coldstart, ListCalls (decisions only, no clock): waits double from 200 ms to 2 s, each drawn over the upper half of its step from the front's own seed; a budget of 8 calls, one more a second; the row of breaks ends once a stream stood 2 s and spoke. The cap comes from the protocol: told counts 7 s later, silence is seen after 2.5 s. LoopbackTest resets every stream: five calls again took 1.47 s before (fails), at least 2.5 s now.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -107,7 +107,7 @@
                 change.entries().forEach(e -> list.add(e.member()));
             }
         }
-        follower = new Follower(loop, front, toCoordinator, c.coordinator());
+        follower = new Follower(loop, front, toCoordinator, c.coordinator(), c.seed());
         clients = new ClientAcceptor(loop, front, acceptor, ofClients, (long) c.memoryMb() << 20);
     }
 
--- a/src/main/java/petrelplank/coordinator/Follower.java
+++ b/src/main/java/petrelplank/coordinator/Follower.java
@@ -9,6 +9,7 @@
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import petrelplank.coldstart.ListCalls;
 import petrelplank.front.EventLoop;
 import petrelplank.front.Front;
 import petrelplank.front.ListEvent;
@@ -22,7 +23,6 @@
     private static final Logger LOG = Logger.getLogger(Follower.class.getName());
     /** Each second a line is due; two missed ones mean that the connection is dead. */
     private static final long SILENCE_US = 2_500_000;
-    private static final long AGAIN_US = 200_000;
     /** Of breaks in a row, with nothing heard between. */
     private static final int LOGGED_ONE_IN = 25;
 
@@ -35,6 +35,10 @@
     private ConnectFuture connecting;
     private IoSession session;
     private EventLoop.Timer again;
+    /** When to call again after a break: spread, capped, within a budget. */
+    private final ListCalls calls;
+    /** When the connection in use was made. */
+    private long madeUs;
     private long heardUs;
     private long breaks;
     private long breaksInRow;
@@ -48,8 +52,10 @@
      * @param front hears the events
      * @param connector makes connections; its handler is set here
      * @param address the coordinator's
+     * @param seed of the jitter of calls after a break; the configuration's, so that fronts differ
      */
-    public Follower(EventLoop loop, Front front, NioSocketConnector connector, InetSocketAddress address) {
+    public Follower(EventLoop loop, Front front, NioSocketConnector connector, InetSocketAddress address, long seed) {
+        this.calls = new ListCalls(seed);
         this.loop = loop;
         this.front = front;
         this.connector = connector;
@@ -113,6 +119,7 @@
             future.getSession().closeNow();
         } else {
             session = future.getSession();
+            madeUs = loop.now();
             session.write(IoBuffer.wrap(("follow " + front.listIndex() + "\n").getBytes(StandardCharsets.US_ASCII)));
         }
     }
@@ -128,7 +135,7 @@
             LOG.warning("coordinator " + why + ", following again from " + front.listIndex() + ", " + breaks
                 + " so far");
         }
-        again = loop.at(loop.now() + AGAIN_US, this::start);
+        again = loop.at(loop.now() + calls.broken(loop.now()), this::start);
     }
 
     private void told(Object mine, ListEvent event) {
@@ -137,6 +144,7 @@
         }
         heardUs = loop.now();
         breaksInRow = 0;
+        calls.heard(heardUs, madeUs);
         long last = front.listIndex();
         if (event instanceof ListEvent.Beat ? event.index() > last : event.index() > last + 1
             && askedAgainFrom != last) {
--- a/src/test/java/petrelplank/ArchitectureTest.java
+++ b/src/test/java/petrelplank/ArchitectureTest.java
@@ -20,19 +20,21 @@
 
     @Test
     void decisionsDependOnNothingElse() {
-        noClasses().that().resideInAPackage("..decision..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("..decision..", "..coldstart..").should().dependOnClassesThat()
             .resideInAnyPackage("petrelplank.front..", "petrelplank.client..", "petrelplank.server..",
                 "petrelplank.record..", "petrelplank.cli..", "java.io..", "java.net..", "java.nio..").check(CLASSES);
     }
 
     @Test
     void modulesThatDecideNeitherWaitNorReadNorLookAtTheClock() {
-        noClasses().that().resideInAnyPackage("..decision..", "..incident..").should().dependOnClassesThat()
+        noClasses().that().resideInAnyPackage("..decision..", "..coldstart..", "..incident..").should()
+            .dependOnClassesThat()
             .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.util.concurrent..").check(CLASSES);
-        noClasses().that().resideInAnyPackage("..decision..", "..incident..", "..emulator..", "..front..", "..yaml..")
+        noClasses().that()
+            .resideInAnyPackage("..decision..", "..coldstart..", "..incident..", "..emulator..", "..front..", "..yaml..")
             .should().callMethod(System.class, "currentTimeMillis").orShould().callMethod(System.class, "nanoTime")
             .orShould().callMethod(java.time.Instant.class, "now").check(CLASSES);
-        noClasses().that().resideInAnyPackage("..decision..", "..incident..", "..emulator..").should()
+        noClasses().that().resideInAnyPackage("..decision..", "..coldstart..", "..incident..", "..emulator..").should()
             .dependOnClassesThat().areAssignableTo(Thread.class).check(CLASSES);
     }
 
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -491,6 +491,24 @@
         assertTrue(coordinator.quiet());
     }
 
+    /**
+     * A coordinator that resets every stream at once: the front calls again later each time, not every 200 ms in step
+     * with all fronts. The shortest waits of five calls again add up to 2.5 s.
+     */
+    @Test
+    void aCoordinatorThatResetsEveryStreamIsCalledLessAndLessOften() throws IOException, InterruptedException {
+        follow.reset();
+        long firstNs = System.nanoTime();
+        for (int call = 0; call < 5; call++) {
+            FakeServer.Line again = coordinator.next();
+            assertEquals("follow 1", again.text());
+            again.reset();
+        }
+        assertTrue(System.nanoTime() - firstNs >= 2_500_000_000L);
+        client.ask(2, "/_health", NOTHING);
+        assertTrue(client.answer().startsWith("2 Status: 200"));
+    }
+
     /** Deadlines differ by site, and SIGKILL comes by the longest: at most 3 s, and 0.7 s more. */
     @Test
     void drainEndsBeforeTheKillThatTheSettingsTell() throws IOException {
