Real fronts started at once through a fault relay: calls to a resetting coordinator

ColdStartTest starts 8 serve processes (20 with -Dfronts) with the coordinator behind FaultRelay (reset, cut, delay, loss by a seeded timeline), stand-ins of the coordinator and of cache nodes that count calls and connections. After the heal all follow again within 8 s and every front answers a request whole.

--- /dev/null
+++ b/src/test/java/petrelplank/cli/CacheNode.java
@@ -0,0 +1,62 @@
+package petrelplank.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A stand-in for a cache node on the line protocol: every command with a request id is answered as a hit with the
+ * body {@code abc}; {@code abort} is taken without a word. Counts connections and commands.
+ */
+final class CacheNode extends StandIn {
+    static final String BODY = "abc";
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger commands = new AtomicInteger();
+
+    CacheNode() throws IOException {
+        super("cache-node");
+    }
+
+    @Override
+    void accepted() {
+        connections.incrementAndGet();
+    }
+
+    String address() {
+        return "127.0.0.1:" + port();
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    int commands() {
+        return commands.get();
+    }
+
+    @Override
+    void serve(Socket s) {
+        try (s) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(),
+                StandardCharsets.ISO_8859_1));
+            OutputStream out = s.getOutputStream();
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                String[] words = line.split(" ");
+                if (words.length < 2 || words[0].equals("abort")) {
+                    continue;
+                }
+                commands.incrementAndGet();
+                out.write((words[1] + " ACK tell=HIT " + BODY.length() + "\r\n" + BODY + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+            }
+        } catch (IOException e) {
+            // the front ended the connection
+        }
+    }
+
+}
--- /dev/null
+++ b/src/test/java/petrelplank/cli/ColdStartTest.java
@@ -0,0 +1,74 @@
+package petrelplank.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import petrelplank.client.FcgiClient;
+
+/**
+ * Fronts started at once as real processes, with the coordinator behind a relay that resets every stream: they serve
+ * from the list they were started with, call the coordinator less and less often, follow it again soon after it
+ * heals, and every request gets one whole answer. {@code -Dfronts=20} or more for the long form.
+ */
+@Tag("processes")
+class ColdStartTest {
+    private static final int FRONTS = Integer.getInteger("fronts", 8);
+
+    private static String entry(String id, CacheNode at, String zone, String kind) {
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.address() + "\",\"zone\":\"" + zone
+            + "\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"active\",\"weight\":10,\"startedAtMs\":0}";
+    }
+
+    @Test
+    void frontsStartedAtOnceSpareACoordinatorThatResetsAndFollowItOnceItHeals(@TempDir Path folder)
+            throws IOException, InterruptedException {
+        try (CacheNode cache = new CacheNode(); CacheNode parent = new CacheNode(); CacheNode origin = new CacheNode()) {
+            String instances = "[" + entry("c-1", cache, "edge-1", "box") + "," + entry("p-1", parent, "north",
+                "parent") + "," + entry("o-1", origin, "north", "origin") + "]";
+            try (ListService service = new ListService(instances);
+                 FaultRelay relay = new FaultRelay(service.address(),
+                     List.of(new FaultRelay.Span(0, Long.MAX_VALUE, FaultRelay.Fault.RESET, 0)), 11);
+                 FrontProcesses fronts = new FrontProcesses(folder, FRONTS, relay.address(), instances)) {
+                List<InetSocketAddress> at = fronts.ready(120_000);
+                Thread.sleep(2_000);
+                int before = relay.accepted();
+                Thread.sleep(4_000);
+                int calls = relay.accepted() - before;
+                // Every 200 ms: 20 calls a front in 4 s. Waits of 0.8 s and more: 6 at most.
+                assertTrue(calls <= 6 * FRONTS, calls + " calls in 4 s from " + FRONTS + " fronts");
+                assertEquals(0, service.calls());
+
+                relay.play(List.of());
+                long until = System.nanoTime() + 8_000_000_000L;
+                while (service.open() < FRONTS && System.nanoTime() < until) {
+                    Thread.sleep(50);
+                }
+                assertEquals(FRONTS, service.open(), "fronts that follow the coordinator again within 8 s");
+
+                for (int i = 0; i < at.size(); i++) {
+                    try (FcgiClient client = new FcgiClient(at.get(i))) {
+                        client.ask(1, "/invoke/media", new byte[0], "X-Request-Id", String.format("%016x", i + 1),
+                            "X-Timeout-Ms", "10000", "X-Object", "7f3a9c21e0b4d655", "X-N", "0", "X-Shard", "17");
+                        String answer = client.answer();
+                        assertTrue(answer.startsWith("1 Status: 200") && answer.endsWith(CacheNode.BODY),
+                            "front " + i + ": " + answer);
+                    }
+                }
+                assertTrue(fronts.allAlive());
+                for (int i = 0; i < at.size(); i++) {
+                    assertFalse(fronts.log(i).contains("task failed"), fronts.log(i));
+                }
+                System.out.printf("cold start of %d fronts: %d calls in 4 s of resets, then %d at the service%n",
+                    FRONTS, calls, service.calls());
+            }
+        }
+    }
+}
