--- a/src/test/java/petrelplank/cli/ColdStartTest.java
+++ b/src/test/java/petrelplank/cli/ColdStartTest.java
@@ -20,7 +20,8 @@
  */
 @Tag("processes")
 class ColdStartTest {
-    private static final int FRONTS = Integer.getInteger("fronts", 8);
+    /** A value that is no number gives 0, and the test says so. */
+    private static final int FRONTS = Integer.getInteger("fronts", System.getProperty("fronts") == null ? 8 : 0);
 
     private static String entry(String id, CacheNode at, String zone, String kind) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.address() + "\",\"zone\":\"" + zone
@@ -30,6 +31,7 @@
     @Test
     void frontsStartedAtOnceSpareACoordinatorThatResetsAndFollowItOnceItHeals(@TempDir Path folder)
             throws IOException, InterruptedException {
+        assertTrue(FRONTS >= 1 && FRONTS <= 100, "-Dfronts wants 1 to 100, not " + System.getProperty("fronts"));
         try (CacheNode cache = new CacheNode(); CacheNode parent = new CacheNode(); CacheNode origin = new CacheNode()) {
             String instances = "[" + entry("c-1", cache, "edge-1", "box") + "," + entry("p-1", parent, "north",
                 "parent") + "," + entry("o-1", origin, "north", "origin") + "]";
