A restarted front says ready only after the coordinator's first beat

A drain or a purge told after `known` was written was then unknown to it until the follower caught up.

Change: Follower.caughtUp() is true from the first beat that shows nothing missing; RunningFront answers health READY after warm-up only once caught up, or after 2.5 s, the follower's own limit for a silent coordinator (it beats each second). After SIGTERM it never says ready again.

Test: LoopbackTest.notReadyUntilTheCoordinatorHasBeaten (front clock slowed a hundredfold, a coordinator that says nothing) fails without the change ("ready before the beat"), passes with it.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -53,6 +53,12 @@
 
     private static final int DECISIONS = 1500;
     private static final int ASK_ROUNDS = 60;
+    /**
+     * Longest wait for the coordinator's first beat before saying ready: it beats once a second, and the follower
+     * counts a connection silent for this long as dead, so a front that has heard nothing by then waits in vain.
+     */
+    private static final long CATCH_UP_US = 2_500 * MS;
+    private static final long CATCH_UP_LOOK_US = 20 * MS;
 
     private final EventLoop loop;
     private final Settings settings;
@@ -60,6 +66,8 @@
     private final long answerAllUs;
     private final Front front;
     private final Follower follower;
+    /** Told to end (SIGTERM); ready never again. Event thread. */
+    private boolean ending;
     private final ClientAcceptor clients;
     private final ExecutorService ioThread = Executors.newCachedThreadPool();
     private final SharedProcessor io = new SharedProcessor(ioThread);
@@ -131,10 +139,28 @@
         } catch (IOException | RuntimeException e) {
             LOG.log(Level.WARNING, "warm-up broke off, ready without it", e);
         }
-        loop.post(() -> {
-            clients.ready(true);
-            LOG.info("serving at " + acceptor.getLocalAddress() + ", list at " + front.listIndex());
-        });
+        loop.post(() -> readyWhenCaughtUp(loop.now() + CATCH_UP_US));
+    }
+
+    /**
+     * Guards a restarted front against a drain or a purge that came after its {@code known} was written: health says
+     * ready once the coordinator's beat shows that nothing is missing, or when waiting longer would not help.
+     */
+    private void readyWhenCaughtUp(long untilUs) {
+        if (ending) {
+            return;
+        }
+        if (!follower.caughtUp() && loop.now() < untilUs) {
+            loop.at(loop.now() + CATCH_UP_LOOK_US, () -> readyWhenCaughtUp(untilUs));
+            return;
+        }
+        clients.ready(true);
+        String how = "serving at " + acceptor.getLocalAddress() + ", list at " + front.listIndex();
+        if (follower.caughtUp()) {
+            LOG.info(how);
+        } else {
+            LOG.warning(how + "; the coordinator has not beaten yet, so the list may lack what it told lately");
+        }
     }
 
     /** Follows a coordinator at another address, from the last number heard; from any thread. */
@@ -170,6 +196,7 @@
         loop.postUrgent(() -> {
             LOG.info("SIGTERM: answering what still comes; so far " + front.counts() + "; " + clients.counts() + "; "
                 + pool.counts());
+            ending = true;
             clients.ready(false);
             front.closeAt(from + answerAllUs);
             loop.at(from + LISTEN_ON_US, clients::stopListening);
--- a/src/main/java/petrelplank/coordinator/Follower.java
+++ b/src/main/java/petrelplank/coordinator/Follower.java
@@ -44,6 +44,8 @@
     private long breaksInRow;
     /** The number after which events were found missing, and asked for again. */
     private long askedAgainFrom = -1;
+    /** Whether a beat has said that nothing told before it is missing here; never false again. */
+    private boolean caughtUp;
 
     /**
      * A follower; {@link #start} connects it.
@@ -84,6 +86,16 @@
         start();
     }
 
+    /**
+     * Whether the coordinator has said, by its beat, that this front has every event that it held then; from the
+     * event thread. Until then, the list of {@code known} may lack a drain or a purge told before this start.
+     *
+     * @return true from the first such beat on
+     */
+    public boolean caughtUp() {
+        return caughtUp;
+    }
+
     /** Guards against a second connection beside the next one: whatever is open or planned ends. */
     private void leave() {
         current = null;
@@ -153,6 +165,8 @@
             broken(mine, "left out events between " + last + " and " + event.index());
         } else if (!(event instanceof ListEvent.Beat)) {
             front.told(event);
+        } else {
+            caughtUp = true;
         }
     }
 
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -93,11 +93,50 @@
         events = new Thread(front::run);
         events.start();
         client = new FcgiClient(front.address());
+        follow = coordinator.next();
+        assertEquals("follow 1", follow.text());
+        follow.reply("1\n");
         do {
             client.ask(1, "/_health", NOTHING);
         } while (!client.answer().startsWith("1 Status: 200"));
-        follow = coordinator.next();
-        assertEquals("follow 1", follow.text());
+    }
+
+    /**
+     * A restarted front's {@code known} may lack a drain or a purge that the coordinator told meanwhile: health says
+     * ready only once the coordinator's beat shows that nothing is missing. The front's clock runs a hundred times
+     * slower here, so that its longest wait for the beat does not end within the test.
+     */
+    @Test
+    void notReadyUntilTheCoordinatorHasBeaten() throws IOException, InterruptedException {
+        try (FakeServer silent = new FakeServer()) {
+            Files.writeString(file, Files.readString(file).replace(coordinator.address(), silent.address()));
+            long fromUs = Instant.now().toEpochMilli() * 1000;
+            long startNs = System.nanoTime();
+            RunningFront second = new RunningFront(Configuration.read(file.toFile()),
+                () -> fromUs + (System.nanoTime() - startNs) / 100_000, (unixUs, event) -> { });
+            second.open(new InetSocketAddress("127.0.0.1", 0));
+            Thread thread = new Thread(second::run);
+            thread.start();
+            try (FcgiClient asker = new FcgiClient(second.address())) {
+                FakeServer.Line followed = silent.next();
+                assertEquals("follow 1", followed.text());
+                long untilNs = System.nanoTime() + 3_000_000_000L;
+                while (System.nanoTime() < untilNs) {
+                    asker.ask(1, "/_health", NOTHING);
+                    assertTrue(asker.answer().startsWith("1 Status: 503"), "ready before the beat");
+                    Thread.sleep(50);
+                }
+                followed.reply("1\n");
+                String answer;
+                do {
+                    asker.ask(2, "/_health", NOTHING);
+                    answer = asker.answer();
+                } while (!answer.startsWith("2 Status: 200"));
+            } finally {
+                second.close();
+                thread.join();
+            }
+        }
     }
 
     private static String entry(String id, FakeServer at, String zone, String kind, String state) {
