Test that a front whose coordinator never beats is still ready after 2.5 s

Need: reading the readiness change again, its second way out had no test. The beat test's wait for 200 was also unbounded.

Not tested: SIGTERM during the wait (never ready again).

--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -108,30 +108,47 @@
      */
     @Test
     void notReadyUntilTheCoordinatorHasBeaten() throws IOException, InterruptedException {
+        withSilentCoordinator(100, (asker, followed) -> {
+            long untilNs = System.nanoTime() + 3_000_000_000L;
+            while (System.nanoTime() < untilNs) {
+                asker.ask(1, "/_health", NOTHING);
+                assertTrue(asker.answer().startsWith("1 Status: 503"), "ready before the beat");
+                Thread.sleep(50);
+            }
+            followed.reply("1\n");
+            assertTrue(readyWithin(asker, 10_000) >= 0);
+        });
+    }
+
+    /** A coordinator that never beats must not keep a front from starting: it is ready after 2.5 s of its clock. */
+    @Test
+    void readyWithoutABeatAfterTheLongestWait() throws IOException, InterruptedException {
+        long fromNs = System.nanoTime();
+        withSilentCoordinator(1, (asker, followed) -> {
+            assertTrue(readyWithin(asker, 20_000) >= 0, "never ready");
+            assertTrue(System.nanoTime() - fromNs >= 2_500_000_000L, "ready before the longest wait");
+        });
+    }
+
+    private interface Look {
+        void at(FcgiClient asker, FakeServer.Line followed) throws IOException, InterruptedException;
+    }
+
+    /** A second front whose coordinator takes its call and says nothing; its clock runs {@code slower} times slower. */
+    private void withSilentCoordinator(long slower, Look look) throws IOException, InterruptedException {
         try (FakeServer silent = new FakeServer()) {
             Files.writeString(file, Files.readString(file).replace(coordinator.address(), silent.address()));
             long fromUs = Instant.now().toEpochMilli() * 1000;
             long startNs = System.nanoTime();
             RunningFront second = new RunningFront(Configuration.read(file.toFile()),
-                () -> fromUs + (System.nanoTime() - startNs) / 100_000, (unixUs, event) -> { });
+                () -> fromUs + (System.nanoTime() - startNs) / 1000 / slower, (unixUs, event) -> { });
             second.open(new InetSocketAddress("127.0.0.1", 0));
             Thread thread = new Thread(second::run);
             thread.start();
             try (FcgiClient asker = new FcgiClient(second.address())) {
                 FakeServer.Line followed = silent.next();
                 assertEquals("follow 1", followed.text());
-                long untilNs = System.nanoTime() + 3_000_000_000L;
-                while (System.nanoTime() < untilNs) {
-                    asker.ask(1, "/_health", NOTHING);
-                    assertTrue(asker.answer().startsWith("1 Status: 503"), "ready before the beat");
-                    Thread.sleep(50);
-                }
-                followed.reply("1\n");
-                String answer;
-                do {
-                    asker.ask(2, "/_health", NOTHING);
-                    answer = asker.answer();
-                } while (!answer.startsWith("2 Status: 200"));
+                look.at(asker, followed);
             } finally {
                 second.close();
                 thread.join();
@@ -139,6 +156,19 @@
         }
     }
 
+    /** Milliseconds until health says 200, at most {@code mostMs}; -1 where it never did. */
+    private static long readyWithin(FcgiClient asker, long mostMs) throws IOException, InterruptedException {
+        long fromNs = System.nanoTime();
+        while (System.nanoTime() - fromNs < mostMs * 1_000_000) {
+            asker.ask(3, "/_health", NOTHING);
+            if (asker.answer().startsWith("3 Status: 200")) {
+                return (System.nanoTime() - fromNs) / 1_000_000;
+            }
+            Thread.sleep(20);
+        }
+        return -1;
+    }
+
     private static String entry(String id, FakeServer at, String zone, String kind, String state) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.address() + "\",\"zone\":\"" + zone
             + "\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"" + state
