A client's connection is not closed while its next request lies unread in the machine

A request that waited in the machine, while the front waited for the processor, did not count: MINA read it in the very turn that closed its connection. Change: they only ask for the close. The I/O thread decides right behind its selector's next look: a connection with anything to read, or that took a request meanwhile, is kept; the others are told of the close at once. Ruled out: late guards and timers (a trace of 91 fronts: no answer past its time), growth (memory and descriptors by quarter do not grow). Tests: quietestConnectionIsKeptWhereItsRequestLiesUnread and idleConnectionIsKeptWhereItsRequestLiesUnread hold the I/O thread up while a request comes; without the change both end with "no line came".

--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -49,7 +49,7 @@
     private final Front front;
     private final BoundedAcceptor acceptor;
     private final Share share;
-    /** Asked to close to make room, and not closed yet. */
+    /** Asked to leave, and neither closed yet nor kept since something lay unread on them. */
     private final AtomicInteger leaving = new AtomicInteger();
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
     private final long memory;
@@ -95,8 +95,7 @@
         long now = loop.now();
         for (Connection c : connections) {
             if (c.expired(now)) {
-                silent++;
-                c.session.closeNow();
+                c.leave(false);
             }
         }
         loop.at(now + SWEEP_US, this::sweep);
@@ -112,27 +111,23 @@
         while (share.free() + leaving.get() <= acceptor.reserve()) {
             Connection longest = null;
             for (Connection c : connections) {
-                if (c.spare(now) && (longest == null || c.quietUs < longest.quietUs)) {
+                if (c.state.get() == State.OPEN && c.spare(now) && (longest == null || c.quietUs < longest.quietUs)) {
                     longest = c;
                 }
             }
-            if (longest == null || !connections.remove(longest)) {
+            if (longest == null) {
                 return;
             }
-            // Counted first: the I/O thread may be closing it for a reason of its own.
-            leaving.incrementAndGet();
-            if (!longest.state.compareAndSet(State.OPEN, State.MAKES_ROOM)) {
-                leaving.decrementAndGet();
-                continue;
-            }
-            longest.session.closeNow();
-            loop.post(() -> {
-                crowded++;
-                if (crowded % LOGGED_ONE_IN == 1) {
-                    LOG.warning("near " + share.most() + " client connections, the quietest closed, " + crowded
-                        + " so far");
-                }
-            });
+            longest.leave(true);
+        }
+    }
+
+    /** Event thread. */
+    private void left(boolean forRoom) {
+        if (!forRoom) {
+            silent++;
+        } else if (++crowded % LOGGED_ONE_IN == 1) {
+            LOG.warning("near " + share.most() + " client connections, the quietest closed, " + crowded + " so far");
         }
     }
 
@@ -178,8 +173,9 @@
         public void sessionClosed(IoSession session) {
             Connection closed = (Connection) session.getAttribute(Connection.class);
             connections.remove(closed);
-            if (closed.state.getAndSet(State.CLOSED) == State.MAKES_ROOM) {
+            if (closed.state.getAndSet(State.CLOSED) == State.LEAVING) {
                 leaving.decrementAndGet();
+                loop.post(() -> left(closed.forRoom));
             }
             closed.closed();
         }
@@ -190,7 +186,7 @@
         }
     }
 
-    private enum State { OPEN, MAKES_ROOM, CLOSED }
+    private enum State { OPEN, LEAVING, CLOSED }
 
     /** One connection; records are read in its I/O thread, answers are written from the event thread. */
     private final class Connection implements Assembler.Listener {
@@ -208,6 +204,8 @@
         private volatile long halfSinceUs;
         private final long madeInTurn = acceptor.turns();
         private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
+        /** Why it was last asked to leave. */
+        private volatile boolean forRoom;
 
         Connection(IoSession session) {
             this.session = session;
@@ -230,6 +228,24 @@
             return unused() && (half > 0 && now - half > SILENT_US || now - quietUs > (used ? IDLE_US : SILENT_US));
         }
 
+        /** Closes it, unless something has come in on it, read or unread, by the time that the I/O thread looks. */
+        void leave(boolean toMakeRoom) {
+            // Counted first: the I/O thread may be closing it for a reason of its own.
+            leaving.incrementAndGet();
+            if (!state.compareAndSet(State.OPEN, State.LEAVING)) {
+                leaving.decrementAndGet();
+                return;
+            }
+            forRoom = toMakeRoom;
+            long quiet = quietUs;
+            long half = halfSinceUs;
+            acceptor.closeSpare(session, () -> unused() && quietUs == quiet && halfSinceUs == half, () -> {
+                if (state.compareAndSet(State.LEAVING, State.OPEN)) {
+                    leaving.decrementAndGet();
+                }
+            });
+        }
+
         void received(IoBuffer bytes) {
             try {
                 parser.feed(bytes.buf(), assembler::take);
--- a/src/main/java/petrelplank/socket/BoundedAcceptor.java
+++ b/src/main/java/petrelplank/socket/BoundedAcceptor.java
@@ -1,7 +1,9 @@
 package petrelplank.socket;
 
 import java.nio.channels.ServerSocketChannel;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 
@@ -68,6 +70,17 @@
         return processor.turns();
     }
 
+    /**
+     * Closes a connection that nothing is open on.
+     *
+     * @param session the connection
+     * @param still see {@link SharedProcessor#closeSpare}
+     * @param kept see there
+     */
+    public void closeSpare(IoSession session, BooleanSupplier still, Runnable kept) {
+        processor.closeSpare(session, still, kept);
+    }
+
     /**
      * Places kept free, so that a newcomer needn't wait until a descriptor has been closed.
      *
--- a/src/main/java/petrelplank/socket/SharedProcessor.java
+++ b/src/main/java/petrelplank/socket/SharedProcessor.java
@@ -1,11 +1,18 @@
 package petrelplank.socket;
 
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.service.IoService;
+import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 
@@ -19,6 +26,9 @@
     /** Of the I/O thread alone. */
     private final List<Share> closing = new ArrayList<>();
     private volatile long turns;
+    private final Queue<Spare> spares = new ConcurrentLinkedQueue<>();
+
+    private record Spare(IoSession session, BooleanSupplier still, Runnable kept) { }
 
     /**
      * A loop that starts with its first socket.
@@ -48,6 +58,48 @@
         return turns;
     }
 
+    /**
+     * Closes a connection on which nothing is open, unless bytes lie unread in the machine: a front that waited for
+     * the processor takes a connection for quiet whose request it has not read. The I/O thread decides, right after
+     * its selector has looked; where there is something to read, the connection is kept. From any thread.
+     *
+     * @param session the connection
+     * @param still whether it may still be closed; asked in the I/O thread, after all that was read there
+     * @param kept run in the I/O thread where the connection is kept
+     */
+    public void closeSpare(IoSession session, BooleanSupplier still, Runnable kept) {
+        spares.add(new Spare(session, still, kept));
+        wakeup();
+    }
+
+    /** Right behind the selector's look, so that a client is told of the close before it can have sent much. */
+    private void closeSpares(int asked) {
+        for (int i = 0; i < asked; i++) {
+            Spare spare = spares.poll();
+            SelectionKey key = key(spare.session);
+            if (key == null || !key.isValid() || selector.selectedKeys().contains(key)
+                || !spare.still.getAsBoolean()) {
+                spare.kept.run();
+                continue;
+            }
+            try {
+                ((SocketChannel) key.channel()).shutdownOutput();
+            } catch (IOException e) {
+                // It is broken: the close below is all that is left to do.
+            }
+            spare.session.closeNow();
+        }
+    }
+
+    private SelectionKey key(IoSession session) {
+        for (SelectionKey key : selector.keys()) {
+            if (key.attachment() == session) {
+                return key;
+            }
+        }
+        return null;
+    }
+
     @Override
     protected void destroy(NioSession session) throws Exception {
         Share share = shares.get(session.getService());
@@ -63,9 +115,11 @@
     @Override
     protected int select(long timeoutMs) throws Exception {
         turns++;
-        if (!closing.isEmpty()) {
+        if (!closing.isEmpty() || !spares.isEmpty()) {
+            int asked = spares.size();
             // Guards against a lost wake-up, which this turn takes away: its flag is set before the selector is woken.
             int ready = select();
+            closeSpares(asked);
             if (ready > 0 || wakeupCalled.get()) {
                 return ready;
             }
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -468,6 +468,70 @@
         }
     }
 
+    /**
+     * A front that waits for the processor sees a connection as quiet while its next request lies unread in the
+     * machine: to close it then, for room or as idle, loses a request that was taken.
+     */
+    @Test
+    void quietestConnectionIsKeptWhereItsRequestLiesUnread() throws IOException, InterruptedException {
+        int most = SOCKETS * 2 / 5;
+        List<FcgiClient> kept = new ArrayList<>();
+        for (int i = 0; i < most - 2; i++) {
+            kept.add(new FcgiClient(front.address()));
+            kept.get(i).ask(1, "/_health", NOTHING);
+            assertTrue(kept.get(i).answer().startsWith("1 Status: 200"));
+        }
+        whileTheIoThreadIsHeldUp(kept.get(0), () -> {
+            ask(1, "aaaaaaaaaaaaaaaa", "media");
+            // Its place is the last but one, so that the quietest, which is the first client's, shall make room.
+            kept.add(new FcgiClient(front.address()));
+            for (int looks = 0; looks < 2000 && taken() < most; looks++) {
+                Thread.sleep(5);
+            }
+            assertEquals(most, taken());
+        });
+        answersTheRequestThatLayUnread();
+        for (FcgiClient one : kept) {
+            one.close();
+        }
+    }
+
+    @Test
+    void idleConnectionIsKeptWhereItsRequestLiesUnread() throws IOException, InterruptedException {
+        try (FcgiClient other = new FcgiClient(front.address())) {
+            whileTheIoThreadIsHeldUp(other, () -> {
+                ask(1, "aaaaaaaaaaaaaaaa", "media");
+                laterUs.addAndGet(5_100_000);
+                // Longer than the sweep's period; too short a wait would only make this test weaker.
+                Thread.sleep(600);
+            });
+        }
+        answersTheRequestThatLayUnread();
+    }
+
+    private void answersTheRequestThatLayUnread() throws IOException, InterruptedException {
+        cache.next().reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+    }
+
+    private interface Meanwhile {
+        void happens() throws IOException, InterruptedException;
+    }
+
+    /** The I/O thread is held at the clock while it reads a request of {@code asker}. */
+    private void whileTheIoThreadIsHeldUp(FcgiClient asker, Meanwhile what) throws IOException, InterruptedException {
+        ioTurn.acquire();
+        try {
+            asker.ask(2, "/_health", NOTHING);
+            while (!ioTurn.hasQueuedThreads()) {
+                Thread.sleep(1);
+            }
+            what.happens();
+        } finally {
+            ioTurn.release();
+        }
+    }
+
     /**
      * On a crowded machine, the accepting thread took all that came while the I/O thread waited for its turn, until
      * the process had no descriptor left. The sockets that the front has taken are counted from outside.
