A front started with SIGHUP ignored says so, since it will never hear a new configuration

The platform then never installs a handler, so that the front went on calling a coordinator that had moved. Change: Signals.on tells whether the handler was taken, and serve warns. Test with a real process.

--- a/src/main/java/petrelplank/cli/Serve.java
+++ b/src/main/java/petrelplank/cli/Serve.java
@@ -46,7 +46,9 @@
             Event.Sink sink = trace ? FileSink.trace(System.err, c.name())
                 : operator == null ? null : Records.sink(operator, c.name());
             front = new RunningFront(c, Serve::unixUs, sink);
-            Signals.on("HUP", () -> reload(front, new File(config)));
+            if (!Signals.on("HUP", () -> reload(front, new File(config)))) {
+                LOG.warning("started with SIGHUP ignored (nohup?): a new configuration will not be read");
+            }
             front.open(listen == null ? c.listen() : Addresses.parse(listen));
         } catch (JsonProcessingException e) {
             return unusable(config + ": not JSON: " + e.getOriginalMessage());
--- a/src/main/java/petrelplank/cli/Signals.java
+++ b/src/main/java/petrelplank/cli/Signals.java
@@ -15,8 +15,10 @@
      *
      * @param name the signal's name without SIG
      * @param task what to run
+     * @return false where the process was started with the signal ignored, as by nohup: the platform then leaves it
+     *     ignored, and the task never runs
      */
-    static void on(String name, Runnable task) {
+    static boolean on(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -28,8 +30,9 @@
                     task.run();
                     return null;
                 });
-            signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
+            Object before = signal.getMethod("handle", signal, handler).invoke(null, signal.getConstructor(String.class)
                 .newInstance(name), run);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (InvocationTargetException e) {
             throw new IllegalStateException("no handler for SIG" + name + ": " + e.getCause().getMessage(), e);
         } catch (ReflectiveOperationException e) {
--- a/src/test/java/petrelplank/cli/ColdStartTest.java
+++ b/src/test/java/petrelplank/cli/ColdStartTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.Tag;
@@ -28,6 +29,26 @@
             + "\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"active\",\"weight\":10,\"startedAtMs\":0}";
     }
 
+    /** A front started by nohup never hears SIGHUP, and went on with a coordinator that had moved, silently. */
+    @Test
+    void frontStartedWithHangupsIgnoredSaysSo(@TempDir Path folder) throws IOException, InterruptedException {
+        Path plain = Files.createDirectory(folder.resolve("plain"));
+        Path deaf = Files.createDirectory(folder.resolve("deaf"));
+        try (ListService service = new ListService("[]");
+             FaultRelay relay = new FaultRelay(service.address(), List.of(), 11);
+             FrontProcesses one = new FrontProcesses(plain, 1, relay.address(), "[]");
+             FrontProcesses other = new FrontProcesses(deaf, 1, relay.address(), "[]",
+                 List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"))) {
+            one.ready(60_000);
+            other.ready(60_000);
+            // The test's own process hands on what it was started with.
+            String mask = Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(line -> line.startsWith("SigIgn:")).findFirst().orElseThrow().substring(7).trim();
+            assertEquals((Long.parseUnsignedLong(mask, 16) & 1) == 1, one.log(0).contains("SIGHUP ignored"));
+            assertTrue(other.log(0).contains("started with SIGHUP ignored"), other.log(0));
+        }
+    }
+
     @Test
     void frontsStartedAtOnceSpareACoordinatorThatResetsAndFollowItOnceItHeals(@TempDir Path folder)
             throws IOException, InterruptedException {
--- a/src/test/java/petrelplank/cli/FrontProcesses.java
+++ b/src/test/java/petrelplank/cli/FrontProcesses.java
@@ -28,6 +28,14 @@
      * @param instances the JSON array of the list that each front is told at its start
      */
     FrontProcesses(Path folder, int n, String coordinator, String instances) throws IOException {
+        this(folder, n, coordinator, instances, List.of());
+    }
+
+    /**
+     * As above, with {@code launcher} before each front's own command line; it has to end by exec.
+     */
+    FrontProcesses(Path folder, int n, String coordinator, String instances, List<String> launcher)
+            throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         for (int i = 0; i < n; i++) {
             Path config = folder.resolve("front-" + i + ".json");
@@ -40,10 +48,12 @@
                 + settings + "}");
             Path log = folder.resolve("front-" + i + ".log");
             logs.add(log);
-            processes.add(new ProcessBuilder(java, "-Xmx48m", "-Xss256k", "-XX:+UseSerialGC",
+            List<String> command = new ArrayList<>(launcher);
+            command.addAll(List.of(java, "-Xmx48m", "-Xss256k", "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config", config.toString())
-                .redirectErrorStream(true).redirectOutput(log.toFile()).start());
+                System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                config.toString()));
+            processes.add(new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start());
         }
     }
 
