A purge binds as long as there is room to remember it, not for twice the stated time

Cause: Brain.lasts forgot a purge after twice purge-done. A cache that dropped its copy in time may be filled with an older one from a parent that has yet to drop its own, by a front that hasn't heard, and keep it. Test: purgeBindsPastTheTimeInWhichCopiesAreDropped.

--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -123,8 +123,8 @@
     private double countTotal;
     private long countsHalvedUs;
     private final Map<Long, Node> holders = new LinkedHashMap<>(16, 0.75f, true);
-    private final Map<Long, Long> purges = new HashMap<>();
-    private final Map<Long, Long> groupPurges = new HashMap<>();
+    private final Map<Long, Long> purges = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<Long, Long> groupPurges = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<Long, Live> waiting = new HashMap<>();
     private long timers;
     /** Places in a load report of requests in hand and of the link's use; -1 where they are not told. */
@@ -557,35 +557,32 @@
 
     @Override
     public void objectPurged(long now, long object, long ageUs) {
-        purged(purges, object, now, now - ageUs);
+        purged(purges, object, now - ageUs);
     }
 
     @Override
     public void groupPurged(long now, int group, long ageUs) {
-        purged(groupPurges, (long) group, now, now - ageUs);
+        purged(groupPurges, (long) group, now - ageUs);
     }
 
-    private void purged(Map<Long, Long> table, long name, long now, long at) {
+    /** Kept past the stated time: a cache may have filled an old copy after it had dropped its own. */
+    private void purged(Map<Long, Long> table, long name, long at) {
         table.merge(name, at, Math::max);
-        table.values().removeIf(old -> !lasts(old, now));
-    }
-
-    /** Whether copies older than a purge may be left: twice the stated time, for clocks and late messages. */
-    private boolean lasts(long at, long now) {
-        return at != Long.MIN_VALUE && now - at <= 2 * settings.rules().purgeDoneUs();
+        if (table.size() > COUNT_CELLS) {
+            table.remove(table.keySet().iterator().next());
+        }
     }
 
-    /** When the object or its group was last purged, while older copies may be left; else the least value. */
-    private long purgedAt(Request r, long now) {
-        long at = Math.max(purges.getOrDefault(r.object(), Long.MIN_VALUE),
+    /** When the object or its group was last purged; the least value where neither was. */
+    private long purgedAt(Request r) {
+        return Math.max(purges.getOrDefault(r.object(), Long.MIN_VALUE),
             groupPurges.getOrDefault((long) r.group(), Long.MIN_VALUE));
-        return lasts(at, now) ? at : Long.MIN_VALUE;
     }
 
     /** Oldest copy that will do: the class's limit, less what a purge forbids; never 0 (the default). */
     private long maxAge(Live r, long now) {
         long own = r.type.freshUs() + (r.oldCopyWillDo ? r.type.graceUs() : 0);
-        long purged = purgedAt(r.request, now);
+        long purged = purgedAt(r.request);
         if (purged == Long.MIN_VALUE) {
             return r.type.freshUs() == 0 ? 0 : own;
         }
@@ -970,7 +967,8 @@
         node.trialOut |= node.ejected;
         source.trialOut |= source.ejected;
         int rank = r.type.write() || node.role != Role.EDGE ? 0 : counts[cell(r.key)] > 1.5 ? 2 : 1;
-        boolean purged = purgedAt(r.request, now) != Long.MIN_VALUE;
+        // Fills of older copies may be under way: twice the stated time, for clocks and late messages.
+        boolean purged = now - 2 * settings.rules().purgeDoneUs() <= purgedAt(r.request);
         Try t = new Try(node, source, now, r.workUs, trial, fill);
         r.tries.add(t);
         r.out++;
--- a/src/test/java/petrelplank/decision/BrainTest.java
+++ b/src/test/java/petrelplank/decision/BrainTest.java
@@ -204,6 +204,26 @@
         assertEquals(0, host.last().maxAgeUs());
     }
 
+    /** A cache may have filled an old copy at a parent after it dropped its own, and keeps it for good. */
+    @Test
+    void purgeBindsPastTheTimeInWhichCopiesAreDropped() {
+        host.router.objectPurged(host.now, 5, 0);
+        host.router.groupPurged(host.now, 3, 0);
+        long made = host.now;
+        host.now += 100 * S;
+        host.router.objectPurged(host.now, 7, 0);
+        host.ask("video", 5, 4, 4 * S);
+        assertTrue(host.last().maxAgeUs() > 99 * S && host.last().maxAgeUs() < host.now - made);
+        assertTrue(host.last().join());
+        host.ask("video", 6, 3, 4 * S);
+        assertTrue(host.last().maxAgeUs() > 99 * S && host.last().maxAgeUs() < host.now - made);
+        for (int i = 0; i < 10_000; i++) {
+            host.router.objectPurged(host.now, 1000 + i, 0);
+        }
+        host.ask("video", 5, 4, 4 * S);
+        assertEquals(0, host.last().maxAgeUs(), "bounded in number");
+    }
+
     @Test
     void keyedWriteThatMayHaveRunIsNotSentAgainAfterItsWindow() {
         String id = host.ask("note", 1, 0, 5 * S);
