--- a/src/test/java/petrelplank/cli/ColdStartTest.java
+++ b/src/test/java/petrelplank/cli/ColdStartTest.java
@@ -24,7 +24,7 @@
     /** A value that is no number gives 0, and the test says so. */
     private static final int FRONTS = Integer.getInteger("fronts", System.getProperty("fronts") == null ? 8 : 0);
 
-    private static String entry(String id, CacheNode at, String zone, String kind) {
+    static String entry(String id, CacheNode at, String zone, String kind) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + at.address() + "\",\"zone\":\"" + zone
             + "\",\"machineType\":\"" + kind + "\",\"cell\":0,\"lifecycle\":\"active\",\"weight\":10,\"startedAtMs\":0}";
     }
--- a/src/test/java/petrelplank/cli/FrontProcesses.java
+++ b/src/test/java/petrelplank/cli/FrontProcesses.java
@@ -82,6 +82,11 @@
         return Files.readString(logs.get(i));
     }
 
+    /** The process of front {@code i}. */
+    long pid(int i) {
+        return processes.get(i).pid();
+    }
+
     /** Whether every front still runs. */
     boolean allAlive() {
         return processes.stream().allMatch(Process::isAlive);
--- a/src/test/java/petrelplank/client/FcgiClient.java
+++ b/src/test/java/petrelplank/client/FcgiClient.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -83,6 +84,20 @@
         }
     }
 
+    /** Whether the front has closed the connection, as far as one can see; nothing is owed on it. */
+    public boolean closed() throws IOException {
+        socket.setSoTimeout(1);
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        } finally {
+            socket.setSoTimeout(PATIENCE_MS);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
