A request's time counts from when it may have come; clients' requests are read at once

Cause: ClientAcceptor.request took the clock when the I/O thread came to the request, after any wait for the processor; the client counts from its sending. A probe of the selector's looks also showed small requests read in two turns: MINA shrinks the read buffer to 64 bytes, and each further turn waits again. Change: the time counts from the selector's look before the one that found the request, 20 ms ago at most unless the process was held up (SharedProcessor.unreadSinceUs); clients' bytes are read 2 KB at once. A connection kept for what lay unread is closed the second time if that made nothing whole: endless junk was kept for good.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -48,6 +48,8 @@
     private static final int BACKLOG = 1024;
     /** Descriptors of the clients and of the servers, each of five parts; the rest is the process's own. */
     private static final int SOCKET_PARTS = 2;
+    /** MINA shrinks what it reads at once down to 64 bytes: a request without a body then took several turns. */
+    private static final int CLIENT_READ_BUFFER = 2_048;
     private static final int READ_BUFFER = 16_384;
     private static final int MOST_READ_BUFFER = 65_536;
 
@@ -70,9 +72,9 @@
     private boolean ending;
     private final ClientAcceptor clients;
     private final ExecutorService ioThread = Executors.newCachedThreadPool();
-    private final SharedProcessor io = new SharedProcessor(ioThread);
-    private final NioSocketConnector toServers = new NioSocketConnector(io);
-    private final NioSocketConnector toCoordinator = new NioSocketConnector(io);
+    private final SharedProcessor io;
+    private final NioSocketConnector toServers;
+    private final NioSocketConnector toCoordinator;
     private final BoundedAcceptor acceptor;
     private final Event.Sink sink;
     private ServerPool pool;
@@ -87,6 +89,9 @@
     RunningFront(Configuration c, LongSupplier clock, Event.Sink sink) {
         this.sink = sink;
         loop = new EventLoop(clock);
+        io = new SharedProcessor(ioThread, clock);
+        toServers = new NioSocketConnector(io);
+        toCoordinator = new NioSocketConnector(io);
         long longest = c.settings().classes().stream().mapToLong(ServiceClass::deadlineUs).max().orElse(0);
         answerAllUs = Math.min(MOST_DEADLINE_US, longest) + KILL_AFTER_US - KILL_MARGIN_US;
         toServers.getSessionConfig().setTcpNoDelay(true);
@@ -98,6 +103,7 @@
         io.share(toServers, ofServers);
         acceptor = new BoundedAcceptor(io, ofClients);
         acceptor.getSessionConfig().setTcpNoDelay(true);
+        acceptor.getSessionConfig().setMinReadBufferSize(CLIENT_READ_BUFFER);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         ServerPool.Limits limits = new ServerPool.Limits(ofServers, c.streams(),
--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -204,8 +204,10 @@
         private volatile long halfSinceUs;
         private final long madeInTurn = acceptor.turns();
         private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
-        /** Why it was last asked to leave. */
+        /** Why it was last asked to leave, how long it had been quiet then, and the bytes read in all by then. */
         private volatile boolean forRoom;
+        private volatile long askedQuietUs;
+        private volatile long askedReadBytes;
 
         Connection(IoSession session) {
             this.session = session;
@@ -228,7 +230,10 @@
             return unused() && (half > 0 && now - half > SILENT_US || now - quietUs > (used ? IDLE_US : SILENT_US));
         }
 
-        /** Closes it, unless something has come in on it, read or unread, by the time that the I/O thread looks. */
+        /**
+         * Closes it, unless something lies unread on it when the I/O thread looks, or a request came. What it was kept
+         * for once and made nothing whole, though read, is junk: then it is closed whatever lies unread.
+         */
         void leave(boolean toMakeRoom) {
             // Counted first: the I/O thread may be closing it for a reason of its own.
             leaving.incrementAndGet();
@@ -239,6 +244,13 @@
             forRoom = toMakeRoom;
             long quiet = quietUs;
             long half = halfSinceUs;
+            long read = session.getReadBytes();
+            if (quiet == askedQuietUs && read > askedReadBytes) {
+                session.closeNow();
+                return;
+            }
+            askedQuietUs = quiet;
+            askedReadBytes = read;
             acceptor.closeSpare(session, () -> unused() && quietUs == quiet && halfSinceUs == half, () -> {
                 if (state.compareAndSet(State.LEAVING, State.OPEN)) {
                     leaving.decrementAndGet();
@@ -294,7 +306,7 @@
                 asker.answer(Answer.of(Answer.Kind.BAD_REQUEST));
                 return;
             }
-            long arrivedUs = loop.clock();
+            long arrivedUs = acceptor.unreadSinceUs();
             loop.post(() -> front.take(asked, asker, arrivedUs));
         }
 
--- a/src/main/java/petrelplank/front/Front.java
+++ b/src/main/java/petrelplank/front/Front.java
@@ -65,7 +65,7 @@
      *
      * @param asked the request
      * @param caller who gets the answer
-     * @param arrivedUs when its last byte was read
+     * @param arrivedUs since when its last byte may have been there to be read
      */
     public void take(ClientRequest asked, Caller caller, long arrivedUs) {
         takeIn.take(asked, caller, arrivedUs);
--- a/src/main/java/petrelplank/socket/BoundedAcceptor.java
+++ b/src/main/java/petrelplank/socket/BoundedAcceptor.java
@@ -70,6 +70,15 @@
         return processor.turns();
     }
 
+    /**
+     * Since when what is being read may have lain in the machine.
+     *
+     * @return see {@link SharedProcessor#unreadSinceUs}
+     */
+    public long unreadSinceUs() {
+        return processor.unreadSinceUs();
+    }
+
     /**
      * Closes a connection that nothing is open on.
      *
--- a/src/main/java/petrelplank/socket/SharedProcessor.java
+++ b/src/main/java/petrelplank/socket/SharedProcessor.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.apache.mina.core.service.IoService;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -25,7 +26,17 @@
     private final Map<IoService, Share> shares = new ConcurrentHashMap<>();
     /** Of the I/O thread alone. */
     private final List<Share> closing = new ArrayList<>();
+    /**
+     * Longest wait of the selector, so that what was read is known to have come no longer ago than this, but for the
+     * time in which the process itself was held up: 50 looks a second cost a thousandth of a core.
+     */
+    private static final long MOST_WAIT_MS = 20;
+
+    private final LongSupplier clock;
     private volatile long turns;
+    /** When the selector last returned, and the time before that; of the I/O thread alone. */
+    private long lookedUs;
+    private long lookedBeforeUs;
     private final Queue<Spare> spares = new ConcurrentLinkedQueue<>();
 
     private record Spare(IoSession session, BooleanSupplier still, Runnable kept) { }
@@ -34,9 +45,23 @@
      * A loop that starts with its first socket.
      *
      * @param executor gives its one thread
+     * @param clock the Unix clock in microseconds
      */
-    public SharedProcessor(Executor executor) {
+    public SharedProcessor(Executor executor, LongSupplier clock) {
         super(executor);
+        this.clock = clock;
+        this.lookedUs = clock.getAsLong();
+        this.lookedBeforeUs = lookedUs;
+    }
+
+    /**
+     * Since when what is being read may have lain in the machine: the selector's look before the last, which found
+     * nothing of it. A process that was held up meanwhile reads late, but a client counts from its sending.
+     *
+     * @return Unix time in microseconds; from the I/O thread, while it reads
+     */
+    public long unreadSinceUs() {
+        return lookedBeforeUs;
     }
 
     /**
@@ -124,16 +149,30 @@
                 return ready;
             }
         }
-        return super.select(timeoutMs);
+        int ready;
+        long left = timeoutMs;
+        do {
+            ready = super.select(Math.min(MOST_WAIT_MS, left));
+            looked();
+            left -= MOST_WAIT_MS;
+            // Not handed back to MINA before its own time: it takes a look that finds nothing for a broken selector.
+        } while (ready == 0 && left > 0 && !wakeupCalled.get());
+        return ready;
     }
 
     @Override
     protected int select() throws Exception {
         int ready = super.select();
+        looked();
         release();
         return ready;
     }
 
+    private void looked() {
+        lookedBeforeUs = lookedUs;
+        lookedUs = clock.getAsLong();
+    }
+
     private void release() {
         closing.forEach(Share::release);
         closing.clear();
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -509,6 +511,43 @@
         answersTheRequestThatLayUnread();
     }
 
+    /** What always has something unread, and never anything whole, is closed in time all the same. */
+    @Test
+    void endlessJunkIsClosedThoughSomeOfItAlwaysLiesUnread() throws IOException {
+        byte[] junk = new byte[8 + 60_000];
+        junk[0] = 1;
+        junk[1] = 5;
+        junk[3] = 77;
+        junk[4] = (byte) (60_000 >> 8);
+        junk[5] = (byte) 60_000;
+        try (FcgiClient bad = new FcgiClient(front.address())) {
+            bad.raw(junk);
+            laterUs.addAndGet(2_100_000);
+            long untilNs = System.nanoTime() + 10_000_000_000L;
+            assertThrows(IOException.class, () -> {
+                while (System.nanoTime() < untilNs) {
+                    bad.raw(junk);
+                }
+            });
+        }
+    }
+
+    /** A client counts from its sending: what lay unread while the front was held up has so much less time left. */
+    @Test
+    void timeThatARequestLayUnreadIsTakenOffItsPatience() throws IOException, InterruptedException {
+        try (FcgiClient other = new FcgiClient(front.address())) {
+            whileTheIoThreadIsHeldUp(other, () -> {
+                ask(1, "aaaaaaaaaaaaaaaa", "media");
+                Thread.sleep(1_000);
+            });
+        }
+        FakeServer.Line fetch = cache.next();
+        Matcher limit = Pattern.compile("limit=(\\d+)").matcher(fetch.text());
+        assertTrue(limit.find() && Integer.parseInt(limit.group(1)) <= 59_000, fetch.text());
+        fetch.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().endsWith("one"));
+    }
+
     private void answersTheRequestThatLayUnread() throws IOException, InterruptedException {
         cache.next().reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
         assertTrue(client.answer().endsWith("one"));
