The idempotency key of keyed writes is passed on unchanged with every attempt

Change: the key travels with the request and its attempts (nonce); a keyed class without a usable key is answered 400 and nothing is sent. Which classes are keyed is what the settings say. Not yet: sizes told with requests are still not read.

--- a/src/main/java/petrelplank/emulator/World.java
+++ b/src/main/java/petrelplank/emulator/World.java
@@ -17,6 +17,7 @@
 import petrelplank.decision.Router.Member;
 import petrelplank.decision.Router.Note;
 import petrelplank.decision.Router.Notes;
+import petrelplank.decision.Router.Repeat;
 import petrelplank.decision.Router.Rules;
 import petrelplank.decision.Router.Settings;
 import petrelplank.decision.Router.Siblings;
@@ -237,7 +238,8 @@
         items.put(id, item);
         truth.asked(front, item.type());
         front.take(new ClientRequest(id, item.type().deadlineUs(), item.type().name(),
-            String.format("%016x", item.object()), 0, catalogue.group(item.object()), null, new byte[0]), answer -> {
+            String.format("%016x", item.object()), 0, catalogue.group(item.object()), null,
+            item.type().repeat() == Repeat.KEYED ? id : null, new byte[0]), answer -> {
                 items.remove(id);
                 truth.answered(front, item, answer.kind() == Answer.Kind.SERVED ? bytes : 0, answer,
                     clock.now() - from);
--- a/src/main/java/petrelplank/front/ClientRequest.java
+++ b/src/main/java/petrelplank/front/ClientRequest.java
@@ -10,7 +10,8 @@
  * @param part the part of the object
  * @param group the object's group
  * @param tag the tag of a copy that the client holds; null where it holds none
+ * @param key the client's idempotency key, the same for all tries of one request; null where it sent none
  * @param body bytes of a write; empty for reads
  */
 public record ClientRequest(String id, long timeoutUs, String serviceClass, String object, long part, int group,
-                            String tag, byte[] body) { }
+                            String tag, String key, byte[] body) { }
--- a/src/main/java/petrelplank/front/Fetch.java
+++ b/src/main/java/petrelplank/front/Fetch.java
@@ -14,8 +14,10 @@
  * @param heldOnly the source gives only what it holds
  * @param renew serve an ageing copy and renew it behind
  * @param tag the tag of the client's copy; null where it holds none
+ * @param key the client's idempotency key, passed on unchanged with every attempt; null where it sent none
  * @param body bytes passed on
  * @param alone it can't be sent again at will, and goes out alone on a connection of its own
  */
 public record Fetch(String id, String serviceClass, String object, long part, String source, int rank, long oldestMs,
-                    boolean join, boolean heldOnly, boolean renew, String tag, byte[] body, boolean alone) { }
+                    boolean join, boolean heldOnly, boolean renew, String tag, String key, byte[] body,
+                    boolean alone) { }
--- a/src/main/java/petrelplank/front/Send.java
+++ b/src/main/java/petrelplank/front/Send.java
@@ -32,7 +32,7 @@
         long untilUs = now + order.timeoutUs();
         Fetch fetch = new Fetch(asked.id(), asked.serviceClass(), asked.object(), asked.part(),
             order.source().equals(order.server()) ? null : order.source(), order.rank(), oldestMs(order.maxAgeUs()),
-            order.join(), order.heldOnly(), order.renew(), asked.tag(), asked.body(),
+            order.join(), order.heldOnly(), order.renew(), asked.tag(), asked.key(), asked.body(),
             guarded.contains(asked.serviceClass()));
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), order.server(), fetch, now, untilUs);
         exchange.attempts.add(attempt);
--- a/src/main/java/petrelplank/front/TakeIn.java
+++ b/src/main/java/petrelplank/front/TakeIn.java
@@ -1,7 +1,9 @@
 package petrelplank.front;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Collectors;
+import petrelplank.decision.Router.Repeat;
 import petrelplank.decision.Router.ServiceClass;
 import petrelplank.decision.Router.Settings;
 
@@ -20,12 +22,16 @@
     private final Scribe scribe;
     /** How long clients wait at most, by class. */
     private final Map<String, Long> longest;
+    /** The classes whose requests carry a key, by which the origin drops repeats. */
+    private final Set<String> keyed;
 
     TakeIn(Admit admit, Settings settings, Scribe scribe) {
         this.admit = admit;
         this.scribe = scribe;
         this.longest = settings.classes().stream()
             .collect(Collectors.toMap(ServiceClass::name, ServiceClass::deadlineUs));
+        this.keyed = settings.classes().stream().filter(c -> c.repeat() == Repeat.KEYED).map(ServiceClass::name)
+            .collect(Collectors.toSet());
     }
 
     /** Takes a request that arrived whole at {@code arrivedUs}; null where it was answered at once. */
@@ -44,7 +50,8 @@
     private boolean usable(ClientRequest asked) {
         return hex(asked.id()) && hex(asked.object()) && asked.timeoutUs() > 0
             && longest.containsKey(asked.serviceClass()) && asked.part() >= 0 && asked.group() >= 0
-            && asked.group() <= LAST_GROUP && (asked.tag() == null || word(asked.tag()));
+            && asked.group() <= LAST_GROUP && (asked.tag() == null || word(asked.tag()))
+            && (asked.key() == null ? !keyed.contains(asked.serviceClass()) : word(asked.key()));
     }
 
     private static boolean hex(String text) {
--- a/src/main/java/petrelplank/server/CommandEncoder.java
+++ b/src/main/java/petrelplank/server/CommandEncoder.java
@@ -37,6 +37,9 @@
         if (f.tag() != null) {
             head.append(",seen=").append(f.tag());
         }
+        if (f.key() != null) {
+            head.append(",nonce=").append(f.key());
+        }
         byte[] start = head.append(' ').append(f.body().length).append("\r\n").toString()
             .getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = new byte[start.length + f.body().length + 2];
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -39,8 +39,8 @@
     static final String SETTINGS = """
         {"balancers":1,"caps":{"cancel":true,"connect-timeout-us":400000,"conn-idle-us":15000000,"max-streams":100,
         "max-retry-after-us":2000000,"peer-messages":false,"probing":true,"retry-after":true,"second-copies":true,
-        "try-limit":6},"discovery":"automatic","family-info":{"class-grace-us":[0,0],"class-write":[false,true],
-        "crew-by-zone":[0,1],"flow-kb-per-s":8000.0,"hub-of":[0,0],"max-age-us":[0,0],"merges-fills":false,
+        "try-limit":6},"discovery":"automatic","family-info":{"class-grace-us":[0,0,0],"class-write":[false,true,true],
+        "crew-by-zone":[0,1],"flow-kb-per-s":8000.0,"hub-of":[0,0],"max-age-us":[0,0,0],"merges-fills":false,
         "neighbours":"location","note-level":"all","notice-time-us":500000,"origin-kind":2,"parent-breaks-at":2.0,
         "parent-cold-from":0.08,"parent-cold-us":21000000,"pass-through-ok":true,"purge-done-us":6000000,
         "upper-kind":1},"kinds":["box","parent","origin"],"localities":["north","edge-1"],
@@ -49,7 +49,9 @@
         "self-index":0,"services":[{"aim-stretch":2.0,"aim-us":500000,"deadline-us":60000000,"group":"all",
         "key-ttl-us":5000000,"late-worth":0.15,"name":"media","repeat":"free","stream":false,"worth":2.0},
         {"aim-us":700000,"deadline-us":60000000,"group":"all","key-ttl-us":5000000,"late-worth":0.0,
-        "name":"stock-move","repeat":"single_shot","stream":false,"worth":3.0}],"weights":"rough","zone":"edge-1"}""";
+        "name":"stock-move","repeat":"single_shot","stream":false,"worth":3.0},
+        {"aim-us":700000,"deadline-us":60000000,"group":"all","key-ttl-us":3000000,"late-worth":0.0,
+        "name":"receipt","repeat":"guarded","stream":false,"worth":3.0}],"weights":"rough","zone":"edge-1"}""";
 
     private FakeServer cache;
     private FakeServer parent;
@@ -300,6 +302,35 @@
         assertTrue(origin.quiet() && parent.quiet() && cache.quiet());
     }
 
+    /** The key is what the origin drops repeats by: the same with every attempt; without one nothing may be sent. */
+    @Test
+    void keyOfAKeyedWriteIsPassedOnUnchangedWithEveryAttempt() throws IOException, InterruptedException {
+        String key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+        askKeyed(1, "aaaaaaaaaaaaaaaa", key);
+        FakeServer.Line first = origin.next();
+        assertTrue(first.text().contains(",nonce=" + key) && origin.next().text().equals("mark"), first.text());
+        first.reset();
+        FakeServer.Line again = parent.next();
+        assertTrue(again.text().startsWith("fetch aaaaaaaaaaaaaaaa ") && again.text().contains(",nonce=" + key),
+            again.text());
+        again.reply("aaaaaaaaaaaaaaaa ACK - 2\r\nok\r\n");
+        assertTrue(client.answer().endsWith("ok"));
+        for (String bad : new String[] {null, "", "a b", "a,b", "a=b", "a\r\nb", "\u00e9"}) {
+            askKeyed(2, "bbbbbbbbbbbbbbbb", bad);
+            assertTrue(client.answer().startsWith("2 Status: 400"), String.valueOf(bad));
+        }
+        assertTrue(cache.quiet());
+    }
+
+    private void askKeyed(int id, String request, String key) throws IOException {
+        List<String> headers = new ArrayList<>(List.of("X-Request-Id", request, "X-Timeout-Ms", "60000", "X-Object",
+            "7f3a9c21e0b4d655", "X-N", "0", "X-Shard", "17"));
+        if (key != null) {
+            headers.addAll(List.of("Idempotency-Key", key));
+        }
+        client.ask(id, "/invoke/receipt", "mark".getBytes(), headers.toArray(String[]::new));
+    }
+
     /** Nothing ran, so a further way is allowed; where there is none, the client may come again. */
     @Test
     void singleShotThatWasNeverWrittenIsNotFailed() throws IOException, InterruptedException {
--- a/src/test/java/petrelplank/server/LineParserTest.java
+++ b/src/test/java/petrelplank/server/LineParserTest.java
@@ -69,13 +69,13 @@
 
     @Test
     void commandsNameOnlyWhatIsAsked() {
-        Fetch plain = new Fetch("9b1f", "media", "7f3a9c21e0b4d655", 3, null, 0, 0, false, false, false, null,
+        Fetch plain = new Fetch("9b1f", "media", "7f3a9c21e0b4d655", 3, null, 0, 0, false, false, false, null, null,
             new byte[0], false);
         assertEquals("fetch 9b1f cls=media,item=7f3a9c21e0b4d655,chunk=3,limit=900 0\r\n\r\n", text(plain));
         Fetch full = new Fetch("9b1f", "pages", "7f3a9c21e0b4d655", 0, "s-1", 2, 1500, true, true, true, "4be0",
-            bytes("ab"), false);
+            "5c0f", bytes("ab"), false);
         assertEquals("fetch 9b1f cls=pages,item=7f3a9c21e0b4d655,chunk=0,limit=900,from=s-1,rank=2,oldest=1500,"
-            + "mode=share+peek+swr,seen=4be0 2\r\nab\r\n", text(full));
+            + "mode=share+peek+swr,seen=4be0,nonce=5c0f 2\r\nab\r\n", text(full));
     }
 
     private static String text(Fetch fetch) {
