A long request is no junk: its connection is kept while it comes in

Seen on rereading: asked to leave a second time, a connection was closed as soon as any bytes had been read since the first ask, so that a request of several reads, or one read just before its quiet time moved, could lose its connection halfway (ClientAcceptor.Connection.leave). A connection that had carried requests was also closed as idle while a further one was half in (expired). Change: only more bytes than a request can hold, with nothing whole, count as junk; a used connection with half a request has the 2 s that half a request has. Test: idleConnectionIsKeptWhileALongRequestComesInOnIt failed before ("no line came"); endlessJunkIsClosedThoughSomeOfItAlwaysLiesUnread still holds.

--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -41,6 +41,8 @@
     /** Bad clients send at full speed: a line for each would cost CPU and memory that good ones need. */
     private static final int LOGGED_ONE_IN = 250;
     private static final long SWEEP_US = 250_000;
+    /** Bytes of a request at its limits; a body in small records takes up to as many again for their headers. */
+    private static final long LONGEST_REQUEST = 2L * (Assembler.LONGEST_PARAMS + Assembler.LONGEST_BODY);
     private static final int MOST_DIGITS = 9;
     private static final String HEALTH = "/_health";
     private static final String INVOKE = "/invoke/";
@@ -204,7 +206,7 @@
         private volatile long halfSinceUs;
         private final long madeInTurn = acceptor.turns();
         private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
-        /** Why it was last asked to leave, how long it had been quiet then, and the bytes read in all by then. */
+        /** Why it was last asked to leave; since when it was quiet when first asked, and the bytes read in all then. */
         private volatile boolean forRoom;
         private volatile long askedQuietUs;
         private volatile long askedReadBytes;
@@ -227,12 +229,14 @@
 
         boolean expired(long now) {
             long half = halfSinceUs;
-            return unused() && (half > 0 && now - half > SILENT_US || now - quietUs > (used ? IDLE_US : SILENT_US));
+            boolean idle = half > 0 && used ? now - half > SILENT_US : now - quietUs > (used ? IDLE_US : SILENT_US);
+            return unused() && idle;
         }
 
         /**
-         * Closes it, unless something lies unread on it when the I/O thread looks, or a request came. What it was kept
-         * for once and made nothing whole, though read, is junk: then it is closed whatever lies unread.
+         * Closes it, unless something lies unread on it when the I/O thread looks, or a request came. Where more was
+         * read since it was first asked than a request can hold, and nothing whole came of it, it is junk: then it is
+         * closed whatever lies unread. Less may be a long request, which takes several reads.
          */
         void leave(boolean toMakeRoom) {
             // Counted first: the I/O thread may be closing it for a reason of its own.
@@ -245,12 +249,13 @@
             long quiet = quietUs;
             long half = halfSinceUs;
             long read = session.getReadBytes();
-            if (quiet == askedQuietUs && read > askedReadBytes) {
+            if (quiet != askedQuietUs) {
+                askedQuietUs = quiet;
+                askedReadBytes = read;
+            } else if (read - askedReadBytes > LONGEST_REQUEST) {
                 session.closeNow();
                 return;
             }
-            askedQuietUs = quiet;
-            askedReadBytes = read;
             acceptor.closeSpare(session, () -> unused() && quietUs == quiet && halfSinceUs == half, () -> {
                 if (state.compareAndSet(State.LEAVING, State.OPEN)) {
                     leaving.decrementAndGet();
--- a/src/test/java/petrelplank/cli/LoopbackTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackTest.java
@@ -542,6 +542,25 @@
         answersTheRequestThatLayUnread();
     }
 
+    /** A long request takes several reads: the first of them makes nothing whole, and is no junk. */
+    @Test
+    void idleConnectionIsKeptWhileALongRequestComesInOnIt() throws IOException, InterruptedException {
+        byte[] move = "x".repeat(30_000).getBytes();
+        try (FcgiClient other = new FcgiClient(front.address())) {
+            whileTheIoThreadIsHeldUp(other, () -> {
+                client.begin(1, "/invoke/stock-move", move, "X-Request-Id", "aaaaaaaaaaaaaaaa", "X-Timeout-Ms", "60000",
+                    "X-Object", "7f3a9c21e0b4d655", "X-N", "0", "X-Shard", "17");
+                laterUs.addAndGet(5_100_000);
+                Thread.sleep(600);
+            });
+        }
+        // The sweep comes by again, before the two seconds that a half request has.
+        Thread.sleep(600);
+        client.end(1);
+        FakeServer.Line sent = origin.next();
+        assertTrue(sent.text().startsWith("fetch aaaaaaaaaaaaaaaa ") && sent.text().endsWith(" 30000"), sent.text());
+    }
+
     /** What always has something unread, and never anything whole, is closed in time all the same. */
     @Test
     void endlessJunkIsClosedThoughSomeOfItAlwaysLiesUnread() throws IOException {
--- a/src/test/java/petrelplank/client/FcgiClient.java
+++ b/src/test/java/petrelplank/client/FcgiClient.java
@@ -29,6 +29,23 @@
 
     /** Asks for an object under an id of the connection; {@code headers} are pairs of name and value. */
     public void ask(int id, String script, byte[] body, String... headers) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(start(id, script, body, headers));
+        all.writeBytes(RecordEncoder.record(Record.STDIN, id, new byte[0]));
+        raw(all.toByteArray());
+    }
+
+    /** Sends all of a request but its end; see {@link #end}. */
+    public void begin(int id, String script, byte[] body, String... headers) throws IOException {
+        raw(start(id, script, body, headers));
+    }
+
+    /** Sends the end of a request begun. */
+    public void end(int id) throws IOException {
+        raw(RecordEncoder.record(Record.STDIN, id, new byte[0]));
+    }
+
+    private static byte[] start(int id, String script, byte[] body, String... headers) {
         ByteArrayOutputStream params = new ByteArrayOutputStream();
         pair(params, "SCRIPT_NAME", script);
         for (int i = 0; i < headers.length; i += 2) {
@@ -41,8 +58,7 @@
         if (body.length > 0) {
             all.writeBytes(RecordEncoder.record(Record.STDIN, id, body));
         }
-        all.writeBytes(RecordEncoder.record(Record.STDIN, id, new byte[0]));
-        raw(all.toByteArray());
+        return all.toByteArray();
     }
 
     private static void pair(ByteArrayOutputStream to, String name, String value) {
