Aborts dropped with their connection are no give-up; clients gone or cut off are heeded

Cause of the second copy: ServerPool.abort closes a silent connection right behind the abort; MINA then drops what is queued and tells of each write as done (AbstractIoSession.destroy), the next attempt went out, and MINA's loop flushes before it removes closed sessions: the copy was on the wire before the close. An abort counts as written now only where its bytes are (ServerConnection.abort); else the connection's end lets the next attempt go. Ruled out: the order of close and event in lost(), half written commands, renewed commands. WithdrawnTest. abortThatIsDroppedWithItsConnectionDoesNotCountAsWritten fails without it. 2. An answer that comes twice ended the retry of its request on the same connection, which was still out: where no second copies are allowed, a retry goes on another connection, of its own if need be (also after an abort, where the front keeps one connection a server: that retry was given up before). A client that has closed or cancelled is known to the I/O thread before the event thread hears of it: what is queued for it is not routed, and a command whose turn to be written comes is passed over. LoopbackGoneClientsTest, WithdrawnTest. 4. Junk behind a good request, or an answer without KEEP_CONN, closed the connection at once: other answers owed on it were lost, or reset away. It is shut down behind the last answer owed, what still comes is read and dropped, and the client has a second to close. In the last 50 ms of a drain a request that was read was sent on by a process about to end; it is refused now, and idle connections are shut down one by one.

Caller and Asker are ResponseChannel and FastCgiResponseChannel; RouterActions, Shutdown, StalledConnections and ManagementRecords are cut out of Front, RunningFront, ServerPool and ClientConnection.

--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -34,15 +34,6 @@
 final class RunningFront {
     private static final Logger LOG = Logger.getLogger(RunningFront.class.getName());
     private static final long MS = 1000;
-    /** After SIGTERM connections come for up to 400 ms and requests for 200 ms more; both counted generously. */
-    private static final long LISTEN_ON_US = 600 * MS;
-    private static final long TAKE_ON_US = 900 * MS;
-    /** SIGKILL comes so long after the longest deadline, counted from SIGTERM; longer ones count as the most. */
-    private static final long KILL_AFTER_US = 700 * MS;
-    private static final long MOST_DEADLINE_US = 3_000 * MS;
-    /** All is answered so long before SIGKILL. */
-    private static final long KILL_MARGIN_US = 200 * MS;
-    private static final long FLUSH_US = 50 * MS;
     private static final long LEAST_CONNECT_US = 50 * MS;
     /** Requests open at once for each MB of memory: bounds what a jam holds, 2,048 of them at 128 MB. */
     private static final int OPEN_PER_MB = 16;
@@ -66,7 +57,7 @@
     private final EventLoop loop;
     private final Settings settings;
     private final List<Member> list = new ArrayList<>();
-    private final long answerAllUs;
+    private final Shutdown shutdown;
     private final Front front;
     private final Follower follower;
     /** Told to end (SIGTERM); ready never again. Event thread. */
@@ -93,8 +84,6 @@
         io = new SharedProcessor(ioThread, clock);
         toServers = new NioSocketConnector(io);
         toCoordinator = new NioSocketConnector(io);
-        long longest = c.settings().classes().stream().mapToLong(ServiceClass::deadlineUs).max().orElse(0);
-        answerAllUs = Math.min(MOST_DEADLINE_US, longest) + KILL_AFTER_US - KILL_MARGIN_US;
         toServers.getSessionConfig().setTcpNoDelay(true);
         toServers.getSessionConfig().setReadBufferSize(READ_BUFFER);
         toServers.getSessionConfig().setMaxReadBufferSize(MOST_READ_BUFFER);
@@ -125,6 +114,8 @@
         follower = new Follower(loop, front, toCoordinator, c.coordinator(), c.seed());
         clients = new ClientAcceptor(loop, front, acceptor, ofClients, (long) c.memoryMb() << 20,
             c.sizeScale());
+        long longest = c.settings().classes().stream().mapToLong(ServiceClass::deadlineUs).max().orElse(0);
+        shutdown = new Shutdown(loop, front, clients, acceptor, io, longest);
     }
 
     /** Listens and follows the coordinator; ready once the event thread runs. */
@@ -213,31 +204,11 @@
 
     /** Takes and answers what still comes, then runs {@code ended}; the longest that takes, in milliseconds. */
     long drain(Runnable ended) {
-        long from = loop.clock();
-        long latest = from + answerAllUs + FLUSH_US;
-        loop.postUrgent(() -> {
+        return shutdown.start(loop.clock(), () -> {
             LOG.info("SIGTERM: answering what still comes; so far " + front.counts() + "; " + clients.counts() + "; "
                 + pool.counts());
             ending = true;
-            clients.ready(false);
-            front.closeAt(from + answerAllUs);
-            loop.at(from + LISTEN_ON_US, clients::stopListening);
-            loop.at(from + Math.min(TAKE_ON_US, answerAllUs), () -> endWhenDone(latest, io.looks() + 2, ended));
-        });
-        return (latest - from + 2 * FLUSH_US) / MS;
-    }
-
-    /** Once nothing is owed, and what may have lain unread when the time to take it was over has been read. */
-    private void endWhenDone(long latest, long looks, Runnable ended) {
-        boolean unread = io.looks() < looks;
-        if ((unread || front.owing() || acceptor.getScheduledWriteBytes() > 0) && loop.now() < latest) {
-            loop.at(loop.now() + FLUSH_US / 5, () -> endWhenDone(latest, looks, ended));
-            return;
-        }
-        LOG.info("ended: " + front.counts());
-        loop.at(loop.now() + FLUSH_US, () -> {
-            // Nothing is left to be answered, and nothing more is taken: now it may wait, for a bounded time.
-            front.finished();
+        }, () -> {
             if (sink != null) {
                 sink.close();
             }
--- a/src/main/java/petrelplank/client/ClientAcceptor.java
+++ b/src/main/java/petrelplank/client/ClientAcceptor.java
@@ -71,7 +71,9 @@
     private void sweep() {
         long now = loop.now();
         for (ClientConnection c : connections) {
-            if (c.expired(now)) {
+            if (c.lingers(now)) {
+                c.closeNow();
+            } else if (c.expired(now)) {
                 c.leave(false);
             }
         }
@@ -108,6 +110,16 @@
         ready = now;
     }
 
+    /**
+     * Closes what is open and not in use, at the end of a drain; what a request still lies unread on is kept.
+     *
+     * @return connections that are not closed yet
+     */
+    public int closeUnused() {
+        connections.stream().filter(ClientConnection::unused).forEach(c -> c.leave(false));
+        return connections.size();
+    }
+
     /** Takes no further connections. */
     public void stopListening() {
         acceptor.setCloseOnDeactivation(false);
--- a/src/main/java/petrelplank/client/ClientConnection.java
+++ b/src/main/java/petrelplank/client/ClientConnection.java
@@ -1,7 +1,5 @@
 package petrelplank.client;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -29,6 +27,8 @@
     private static final long FIRST_US = SILENT_US / 8;
     /** Clients close idle connections after 4 s; those that never do are closed after this. */
     static final long IDLE_US = 5_000_000;
+    /** How long the client may take to close a connection whose sending side was shut down. */
+    private static final long LINGER_US = 1_000_000;
     /** Bytes of a request at its limits; a body in small records takes up to as many again for their headers. */
     private static final long LONGEST_REQUEST = 2L * (Assembler.LONGEST_PARAMS + Assembler.LONGEST_BODY);
     private static final String HEALTH = "/_health";
@@ -38,7 +38,7 @@
     private final IoSession session;
     private final RecordParser parser = new RecordParser();
     private final Assembler assembler;
-    final Map<Integer, Asker> open = new ConcurrentHashMap<>();
+    final Map<Integer, FastCgiResponseChannel> open = new ConcurrentHashMap<>();
     /** Answers between being taken off {@link #open} and standing among the bytes to write. */
     final AtomicInteger writing = new AtomicInteger();
     /** When it last brought a request whole, or took the last answer it was owed; its start before that. */
@@ -54,6 +54,11 @@
     private volatile long askedQuietUs;
     private volatile long askedReadBytes;
 
+    /** Nothing that still comes is read as a request: what came before it made no record. Of the I/O thread. */
+    private boolean unreadable;
+    /** When the sending side was shut down; 0 before. Written by the I/O thread. */
+    private volatile long shutdownUs;
+
     ClientConnection(ClientAcceptor owner, IoSession session) {
         this.owner = owner;
         this.session = session;
@@ -112,6 +117,9 @@
     }
 
     void received(IoBuffer bytes) {
+        if (unreadable || shutdownUs > 0) {
+            return;
+        }
         try {
             parser.feed(bytes.buf(), assembler::take);
             if (!parser.inside() && !assembler.inside()) {
@@ -120,11 +128,31 @@
                 halfSinceUs = loop.clock();
             }
         } catch (MalformedException e) {
-            session.closeNow();
+            unreadable = true;
+            finish();
             loop.post(() -> owner.faults.malformed(e.getMessage()));
         }
     }
 
+    /** Closes it behind the answers that are still owed on it, without a reset that would take them along. */
+    void finish() {
+        owner.acceptor.shutdownOutput(session, () -> {
+            if (unused()) {
+                shutdownUs = loop.clock();
+            }
+            return shutdownUs > 0;
+        });
+    }
+
+    /** Whether its client has not closed it in good time after its sending side was shut down. */
+    boolean lingers(long now) {
+        return shutdownUs > 0 && now - shutdownUs > LINGER_US;
+    }
+
+    void closeNow() {
+        session.closeNow();
+    }
+
     void answered(int bytes) {
         owner.held.addAndGet(-bytes);
         quietUs = loop.clock();
@@ -137,32 +165,33 @@
 
     @Override
     public void request(int id, boolean keep, Map<String, String> params, byte[] body) {
-        Asker asker = new Asker(this, id, keep, params.getOrDefault("HTTP_X_REQUEST_ID", ""), body.length);
+        FastCgiResponseChannel channel = new FastCgiResponseChannel(this, id, keep,
+            params.getOrDefault("HTTP_X_REQUEST_ID", ""), body.length);
         // Guards memory against clients that open hundreds of requests with large bodies.
         owner.held.addAndGet(body.length);
-        open.put(id, asker);
+        open.put(id, channel);
         used = true;
         quietUs = loop.clock();
         String script = params.getOrDefault("SCRIPT_NAME", "");
         if (script.equals(HEALTH)) {
-            asker.answer(owner.ready ? Answer.of(Answer.Kind.SERVED) : Answer.refused(0));
+            channel.answer(owner.ready ? Answer.of(Answer.Kind.SERVED) : Answer.refused(0));
             return;
         }
         ClientRequest asked = owner.decoder.decode(params, body);
         if (asked == null) {
-            asker.answer(Answer.of(Answer.Kind.BAD_REQUEST));
+            channel.answer(Answer.of(Answer.Kind.BAD_REQUEST));
             return;
         }
         long arrivedUs = owner.acceptor.unreadSinceUs();
-        loop.post(() -> owner.front.take(asked, asker, arrivedUs));
+        loop.post(() -> owner.front.take(asked, channel, arrivedUs));
     }
 
     @Override
     public void abort(int id) {
-        Asker asker = open.remove(id);
-        if (asker != null) {
-            owner.held.addAndGet(-asker.bytes);
-            loop.post(() -> owner.front.left(asker.requestId, asker));
+        FastCgiResponseChannel channel = open.remove(id);
+        if (channel != null) {
+            owner.held.addAndGet(-channel.bytes);
+            loop.post(() -> owner.front.left(channel.requestId, channel));
         }
     }
 
@@ -178,34 +207,18 @@
 
     @Override
     public void declined(int id, int status, boolean keep) {
-        write(RecordEncoder.end(id, status), keep);
+        write(RecordEncoder.end(id, status));
+        if (!keep) {
+            finish();
+        }
     }
 
     @Override
     public void management(Record record) {
-        if (record.type() == Record.GET_VALUES) {
-            write(RecordEncoder.record(Record.GET_VALUES_RESULT, 0, values(record)), true);
-        } else {
-            write(RecordEncoder.record(Record.UNKNOWN_TYPE, 0,
-                new byte[] {(byte) record.type(), 0, 0, 0, 0, 0, 0, 0}), true);
-        }
-    }
-
-    private byte[] values(Record record) {
-        Map<String, String> known = Map.of("FCGI_MAX_CONNS", Integer.toString(owner.share.most()), "FCGI_MAX_REQS",
-            Integer.toString(owner.share.most() * Assembler.MOST_OPEN), "FCGI_MPXS_CONNS", "1");
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        for (String name : Params.decode(record.content()).keySet()) {
-            if (known.containsKey(name)) {
-                out.write(name.length());
-                out.write(known.get(name).length());
-                out.writeBytes((name + known.get(name)).getBytes(StandardCharsets.ISO_8859_1));
-            }
-        }
-        return out.toByteArray();
+        write(ManagementRecords.reply(record, owner.share.most()));
     }
 
-    void write(byte[] bytes, boolean keep) {
+    void write(byte[] bytes) {
         // Guards memory against a client that asks on and does not read.
         long unread = session.getScheduledWriteBytes();
         if (unread > MOST_UNREAD
@@ -215,8 +228,5 @@
             return;
         }
         session.write(IoBuffer.wrap(bytes));
-        if (!keep) {
-            session.closeOnFlush();
-        }
     }
 }
--- a/src/main/java/petrelplank/client/Asker.java
+++ b/src/main/java/petrelplank/client/FastCgiResponseChannel.java
@@ -1,17 +1,17 @@
 package petrelplank.client;
 
 import petrelplank.front.Answer;
-import petrelplank.front.Caller;
+import petrelplank.front.ResponseChannel;
 
-/** One request's way back. */
-final class Asker implements Caller {
+/** The way back to a FastCGI client, for one request on its connection. */
+final class FastCgiResponseChannel implements ResponseChannel {
     private final ClientConnection connection;
     private final int id;
     private final boolean keep;
     final String requestId;
     final int bytes;
 
-    Asker(ClientConnection connection, int id, boolean keep, String requestId, int bytes) {
+    FastCgiResponseChannel(ClientConnection connection, int id, boolean keep, String requestId, int bytes) {
         this.connection = connection;
         this.id = id;
         this.keep = keep;
@@ -23,10 +23,19 @@
     @Override
     public void answer(Answer answer) {
         connection.writing.incrementAndGet();
-        if (connection.open.remove(id, this)) {
+        boolean owed = connection.open.remove(id, this);
+        if (owed) {
             connection.answered(bytes);
-            connection.write(RecordEncoder.answer(id, answer), keep);
+            connection.write(RecordEncoder.answer(id, answer));
         }
         connection.writing.decrementAndGet();
+        if (owed && !keep) {
+            connection.finish();
+        }
+    }
+
+    @Override
+    public boolean isOpen() {
+        return connection.open.get(id) == this;
     }
 }
--- a/src/main/java/petrelplank/emulator/EmulatedFront.java
+++ b/src/main/java/petrelplank/emulator/EmulatedFront.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import petrelplank.decision.Site.Settings;
 import petrelplank.front.Attempt;
-import petrelplank.front.Caller;
+import petrelplank.front.ResponseChannel;
 import petrelplank.front.ClientRequest;
 import petrelplank.front.EventLoop;
 import petrelplank.front.Front;
@@ -76,8 +76,8 @@
         }
     }
 
-    void take(ClientRequest asked, Caller caller) {
-        loop.post(() -> front.take(asked, caller, loop.clock()));
+    void take(ClientRequest asked, ResponseChannel channel) {
+        loop.post(() -> front.take(asked, channel, loop.clock()));
         run();
     }
 
--- a/src/main/java/petrelplank/front/Admit.java
+++ b/src/main/java/petrelplank/front/Admit.java
@@ -37,7 +37,7 @@
         if (open.size() >= most || open.containsKey(id) || loop.now() >= closeAtUs) {
             book.turnedAway();
             scribe.turnedAway(exchange.asked, Answer.Kind.REFUSED);
-            exchange.caller.answer(Answer.refused(FULL_RETRY_MS));
+            exchange.channel.answer(Answer.refused(FULL_RETRY_MS));
             return null;
         }
         open.put(id, exchange);
--- a/src/main/java/petrelplank/front/Attempt.java
+++ b/src/main/java/petrelplank/front/Attempt.java
@@ -38,6 +38,15 @@
         return fetch;
     }
 
+    /**
+     * Whether the client still waits; the event thread may not have come to hear yet that it does not. Any thread.
+     *
+     * @return false once the client has closed its connection or cancelled the request, or was answered
+     */
+    public boolean isAwaited() {
+        return exchange.channel.isOpen();
+    }
+
     /**
      * When the router ordered it.
      *
--- a/src/main/java/petrelplank/front/Book.java
+++ b/src/main/java/petrelplank/front/Book.java
@@ -40,7 +40,7 @@
         exchange.guard.cancel();
         answered[answer.kind().ordinal()]++;
         scribe.answered(exchange, answer);
-        exchange.caller.answer(answer);
+        exchange.channel.answer(answer);
         release(exchange);
     }
 
--- a/src/main/java/petrelplank/front/Exchange.java
+++ b/src/main/java/petrelplank/front/Exchange.java
@@ -10,7 +10,7 @@
     /** Id and object, as numbers. */
     final long id;
     final long object;
-    final Caller caller;
+    final ResponseChannel channel;
     final long arrivedUs;
     final long deadlineUs;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -20,11 +20,11 @@
     /** The final answer is out, or the client has left. */
     boolean over;
 
-    Exchange(ClientRequest asked, Caller caller, long arrivedUs, long deadlineUs) {
+    Exchange(ClientRequest asked, ResponseChannel channel, long arrivedUs, long deadlineUs) {
         this.asked = asked;
         this.id = Long.parseUnsignedLong(asked.id(), 16);
         this.object = Long.parseUnsignedLong(asked.object(), 16);
-        this.caller = caller;
+        this.channel = channel;
         this.arrivedUs = arrivedUs;
         this.deadlineUs = deadlineUs;
     }
--- a/src/main/java/petrelplank/front/Front.java
+++ b/src/main/java/petrelplank/front/Front.java
@@ -4,22 +4,15 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiFunction;
-import java.util.logging.Logger;
 import petrelplank.decision.Brain;
-import petrelplank.decision.Events.GivenUp;
 import petrelplank.decision.Events.Member;
-import petrelplank.decision.Events.Order;
 import petrelplank.decision.Events.State;
-import petrelplank.decision.Router.Actions;
 import petrelplank.decision.Router;
 import petrelplank.decision.Site.Settings;
 import petrelplank.record.Event;
 
 /** The front: the stages, the router and its actions, and the list of servers. Event thread only. */
 public final class Front {
-    private static final Logger LOG = Logger.getLogger(Front.class.getName());
-    private static final long LEAST_TIMER_US = 1000;
-
     private final EventLoop loop;
     private final Servers servers;
     private final Router router;
@@ -27,7 +20,6 @@
     private final Book book;
     private final Admit admit;
     private final TakeIn takeIn;
-    private final Send send;
     private final Set<String> listed = new HashSet<>();
     private long listIndex;
 
@@ -49,11 +41,13 @@
         Relay relay = new Relay(loop, book, scribe);
         Route route = new Route(loop, settings);
         this.servers = connect.apply(loop, relay);
-        this.send = new Send(loop, settings, servers, relay, scribe);
+        Send send = new Send(loop, settings, servers, relay, scribe);
         this.admit = new Admit(loop, mostOpen, route, book, scribe);
         this.takeIn = new TakeIn(admit, settings, scribe);
         book.admit(admit);
-        this.router = new Brain(settings, seed, new Deeds());
+        RouterActions actions = new RouterActions(loop, admit, send, book, scribe);
+        this.router = new Brain(settings, seed, actions);
+        actions.router(router);
         route.router(router);
         relay.router(router);
         book.router(router);
@@ -64,11 +58,13 @@
      * A request came in.
      *
      * @param asked the request
-     * @param caller who gets the answer
+     * @param channel who gets the answer
      * @param arrivedUs since when its last byte may have been there to be read
      */
-    public void take(ClientRequest asked, Caller caller, long arrivedUs) {
-        takeIn.take(asked, caller, arrivedUs);
+    public void take(ClientRequest asked, ResponseChannel channel, long arrivedUs) {
+        if (channel.isOpen()) {
+            takeIn.take(asked, channel, arrivedUs);
+        }
     }
 
     /** Routes nothing for now: the list may lack a drain or a purge. What is taken waits for {@link #goOn}. */
@@ -85,11 +81,11 @@
      * A client stopped waiting.
      *
      * @param id the request's id
-     * @param caller who asked; another's request of the same id is left alone
+     * @param channel who asked; another's request of the same id is left alone
      */
-    public void left(String id, Caller caller) {
+    public void left(String id, ResponseChannel channel) {
         Exchange exchange = admit.find(id);
-        if (exchange != null && exchange.caller == caller && !exchange.over) {
+        if (exchange != null && exchange.channel == channel && !exchange.over) {
             book.left(exchange);
             router.clientGone(loop.now(), id);
         }
@@ -155,6 +151,11 @@
         admit.closeAt(atUs);
     }
 
+    /** Whatever still comes is refused at once, and nothing is sent any more. */
+    public void close() {
+        admit.closeAt(loop.now());
+    }
+
     /** The planned end has come: the last record. */
     public void finished() {
         scribe.finished();
@@ -177,74 +178,4 @@
     public String counts() {
         return book.counts();
     }
-
-    /** What the router does, done on sockets. */
-    private final class Deeds implements Actions {
-        @Override
-        public void send(String request, Order order) {
-            send.send(admit.find(request), order);
-        }
-
-        @Override
-        public void refuse(String request, long retryAfterUs) {
-            book.answer(admit.find(request), Answer.refused((retryAfterUs + 999) / 1000));
-        }
-
-        @Override
-        public void fail(String request) {
-            book.answer(admit.find(request), Answer.of(Answer.Kind.FAILED));
-        }
-
-        @Override
-        public void givenUp(String request, GivenUp why) {
-            scribe.givenUp(request, why);
-        }
-
-        @Override
-        public void ejected(String server, boolean trial, long pauseUs) {
-            scribe.ejected(server, trial, pauseUs);
-        }
-
-        @Override
-        public void returned(String server) {
-            scribe.returned(server);
-        }
-
-        @Override
-        public void cancel(String request, int attempt) {
-            Exchange exchange = admit.find(request);
-            if (exchange != null) {
-                send.cancel(exchange, attempt);
-            }
-        }
-
-        @Override
-        public void probe(String server) {
-            LOG.warning("the router asked for a probe, which the front does not send");
-        }
-
-        @Override
-        public void tell(int gateway, byte[] data) {
-            LOG.warning("the router has a message for another front, which the front does not send");
-        }
-
-        /** Guards the event thread: as in the simulator, a timer never fires in the turn that set it. */
-        @Override
-        public void timer(long token, long atUs) {
-            loop.at(Math.max(atUs, loop.now() + LEAST_TIMER_US), () -> router.timer(loop.now(), token));
-        }
-
-        /** The front follows the coordinator from its start. */
-        @Override
-        public void subscribe() { }
-
-        /** The whole list is in the first event, and nothing is left out after it. */
-        @Override
-        public void fetchRoster() { }
-
-        @Override
-        public void log(String line) {
-            LOG.info(line);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/petrelplank/front/RouterActions.java
@@ -0,0 +1,100 @@
+package petrelplank.front;
+
+import java.util.logging.Logger;
+import petrelplank.decision.Events.GivenUp;
+import petrelplank.decision.Events.Order;
+import petrelplank.decision.Router;
+import petrelplank.decision.Router.Actions;
+
+/** Carries the router's decisions out: attempts, final answers, timers. Event thread only. */
+final class RouterActions implements Actions {
+    private static final Logger LOG = Logger.getLogger(Front.class.getName());
+    private static final long LEAST_TIMER_US = 1000;
+
+    private final EventLoop loop;
+    private final Admit admit;
+    private final Send send;
+    private final Book book;
+    private final Scribe scribe;
+    private Router router;
+
+    RouterActions(EventLoop loop, Admit admit, Send send, Book book, Scribe scribe) {
+        this.loop = loop;
+        this.admit = admit;
+        this.send = send;
+        this.book = book;
+        this.scribe = scribe;
+    }
+
+    /** Names the router whose timers these are. */
+    void router(Router chosen) {
+        router = chosen;
+    }
+
+    @Override
+    public void send(String request, Order order) {
+        send.send(admit.find(request), order);
+    }
+
+    @Override
+    public void refuse(String request, long retryAfterUs) {
+        book.answer(admit.find(request), Answer.refused((retryAfterUs + 999) / 1000));
+    }
+
+    @Override
+    public void fail(String request) {
+        book.answer(admit.find(request), Answer.of(Answer.Kind.FAILED));
+    }
+
+    @Override
+    public void givenUp(String request, GivenUp why) {
+        scribe.givenUp(request, why);
+    }
+
+    @Override
+    public void ejected(String server, boolean trial, long pauseUs) {
+        scribe.ejected(server, trial, pauseUs);
+    }
+
+    @Override
+    public void returned(String server) {
+        scribe.returned(server);
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        Exchange exchange = admit.find(request);
+        if (exchange != null) {
+            send.cancel(exchange, attempt);
+        }
+    }
+
+    @Override
+    public void probe(String server) {
+        LOG.warning("the router asked for a probe, which the front does not send");
+    }
+
+    @Override
+    public void tell(int gateway, byte[] data) {
+        LOG.warning("the router has a message for another front, which the front does not send");
+    }
+
+    /** Guards the event thread: as in the simulator, a timer never fires in the turn that set it. */
+    @Override
+    public void timer(long token, long atUs) {
+        loop.at(Math.max(atUs, loop.now() + LEAST_TIMER_US), () -> router.timer(loop.now(), token));
+    }
+
+    /** The front follows the coordinator from its start. */
+    @Override
+    public void subscribe() { }
+
+    /** The whole list is in the first event, and nothing is left out after it. */
+    @Override
+    public void fetchRoster() { }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+}
--- a/src/main/java/petrelplank/front/TakeIn.java
+++ b/src/main/java/petrelplank/front/TakeIn.java
@@ -35,16 +35,16 @@
     }
 
     /** Takes a request that arrived whole at {@code arrivedUs}; null where it was answered at once. */
-    Exchange take(ClientRequest asked, Caller caller, long arrivedUs) {
+    Exchange take(ClientRequest asked, ResponseChannel channel, long arrivedUs) {
         if (!usable(asked)) {
             scribe.turnedAway(asked, Answer.Kind.BAD_REQUEST);
-            caller.answer(Answer.of(Answer.Kind.BAD_REQUEST));
+            channel.answer(Answer.of(Answer.Kind.BAD_REQUEST));
             return null;
         }
         // Guards against a wait beyond all clients', which would hold its place and memory for as long.
         long waitUs = Math.min(asked.timeoutUs(), longest.get(asked.serviceClass()));
         long marginUs = Math.min(MARGIN_US, waitUs / 4);
-        return admit.admit(new Exchange(asked, caller, arrivedUs, arrivedUs + waitUs - marginUs));
+        return admit.admit(new Exchange(asked, channel, arrivedUs, arrivedUs + waitUs - marginUs));
     }
 
     private boolean usable(ClientRequest asked) {
--- a/src/main/java/petrelplank/server/Command.java
+++ b/src/main/java/petrelplank/server/Command.java
@@ -1,6 +1,7 @@
 package petrelplank.server;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
@@ -15,23 +16,36 @@
 
     private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
     private final int length;
+    private final BooleanSupplier wanted;
     /** Bytes written on its connection before it; set as it is taken, when all before it has been written. */
     private volatile long startsAt = Long.MAX_VALUE;
 
-    Command(byte[] bytes, WriteFuture written) {
+    /**
+     * A command that waits to be written.
+     *
+     * @param bytes the command
+     * @param written told of its end; null where nobody asks
+     * @param wanted whether it is to be written still, asked in the I/O thread as its turn comes
+     */
+    Command(byte[] bytes, WriteFuture written, BooleanSupplier wanted) {
         super(IoBuffer.wrap(bytes), written);
         this.length = bytes.length;
+        this.wanted = wanted;
     }
 
-    /** The I/O thread is about to write it; false where it was withdrawn. */
+    /** The I/O thread is about to write it; false where it was withdrawn, or is not wanted any more. */
     boolean take(IoSession session) {
+        if (!wanted.getAsBoolean()) {
+            withdraw();
+            return false;
+        }
         startsAt = session.getWrittenBytes();
         return state.compareAndSet(State.QUEUED, State.TAKEN);
     }
 
-    /** It shall not be written; false where its writing may have begun. Event thread. */
+    /** It shall not be written; false where its writing may have begun. */
     boolean withdraw() {
-        return state.compareAndSet(State.QUEUED, State.WITHDRAWN);
+        return state.compareAndSet(State.QUEUED, State.WITHDRAWN) || state.get() == State.WITHDRAWN;
     }
 
     /** Whether any byte of it may have gone out. */
--- a/src/main/java/petrelplank/server/Server.java
+++ b/src/main/java/petrelplank/server/Server.java
@@ -34,6 +34,11 @@
         return best;
     }
 
+    /** Whether an attempt under the id was sent on a connection that is still open. */
+    boolean carried(String id) {
+        return connections.stream().anyMatch(c -> c.carried(id));
+    }
+
     /** Connections that take something new: one that does not must not keep a fresh one out. */
     long taking() {
         return connections.stream().filter(c -> !c.retiring).count();
--- a/src/main/java/petrelplank/server/ServerConnection.java
+++ b/src/main/java/petrelplank/server/ServerConnection.java
@@ -15,6 +15,9 @@
     /** Bytes that a peer may leave unread before nothing more is written to it. */
     private static final long MOST_UNREAD = 1 << 20;
 
+    /** Ids of answered attempts that are remembered: a doubled answer comes some milliseconds behind the first. */
+    private static final int ANSWERED_KEPT = 256;
+
     /** An attempt on this connection, and its command; null as long as the connection is not made. */
     record Open(Attempt attempt, Command command) { }
 
@@ -27,6 +30,8 @@
     private final Map<String, Open> open = new LinkedHashMap<>();
     /** Ids given up here: a late answer to one must not pass for the answer to a further attempt. */
     private final Set<String> aborted = new LinkedHashSet<>();
+    /** Ids that no retry is sent under here: a second answer to the last attempt must not pass for its own. */
+    private final Set<String> answered = new LinkedHashSet<>();
     private final int streams;
     /** Aborts that are not known to have been written. */
     private int unwrittenAborts;
@@ -43,8 +48,13 @@
         this.heardUs = createdUs;
     }
 
+    /** Whether an attempt under the id was sent on this connection before, so that a late answer could be of either. */
+    boolean carried(String id) {
+        return open.containsKey(id) || aborted.contains(id) || answered.contains(id);
+    }
+
     boolean takes(String id) {
-        return !retiring && open.size() < streams && !open.containsKey(id) && !aborted.contains(id)
+        return !retiring && open.size() < streams && !carried(id)
             && (session == null || !session.isClosing() && session.getScheduledWriteBytes() < MOST_UNREAD);
     }
 
@@ -84,7 +94,8 @@
     }
 
     private void write(Attempt attempt, long now) {
-        Command command = new Command(CommandEncoder.fetch(attempt.fetch(), attempt.limitMs(now)), null);
+        Command command = new Command(CommandEncoder.fetch(attempt.fetch(), attempt.limitMs(now)), null,
+            attempt::isAwaited);
         open.put(attempt.fetch().id(), new Open(attempt, command));
         session.getFilterChain().fireFilterWrite(command);
     }
@@ -93,15 +104,15 @@
      * Gives an attempt up. A command that was not written yet never will be; one that stands half written, as where the
      * server reads nothing, can't be taken back and would go out whole later: then the connection is closed.
      *
-     * @param written told in the I/O thread that the abort is written, or can't be
+     * @param written told in the I/O thread that the abort is written; never where the connection closes before
      * @return whether an abort waits to be written, or the connection is being closed: until then the attempt is out
      */
     boolean abort(Attempt attempt, Runnable written) {
         String id = attempt.fetch().id();
-        Open held = open.remove(id);
-        if (session == null || held == null || held.command().withdraw()) {
+        if (withdraw(attempt) || !open.containsKey(id)) {
             return false;
         }
+        Open held = open.remove(id);
         if (!held.command().whole(session)) {
             close();
             return true;
@@ -111,13 +122,29 @@
             retiring = true;
         }
         DefaultWriteFuture future = new DefaultWriteFuture(session);
-        session.getFilterChain().fireFilterWrite(new Command(CommandEncoder.abort(id), future));
+        Command command = new Command(CommandEncoder.abort(id), future, () -> true);
         unwrittenAborts++;
-        future.addListener(f -> written.run());
+        // MINA tells of writes as done, too, where it drops them since the connection is being closed.
+        future.addListener(f -> {
+            if (command.whole(session)) {
+                written.run();
+            }
+        });
+        session.getFilterChain().fireFilterWrite(command);
+        return true;
+    }
+
+    /** Takes back an attempt of which nothing has been written; false where its writing may have begun. */
+    boolean withdraw(Attempt attempt) {
+        Open held = open.get(attempt.fetch().id());
+        if (held == null || session != null && !held.command().withdraw()) {
+            return false;
+        }
+        open.remove(attempt.fetch().id());
         return true;
     }
 
-    /** An abort was written, or can't be. */
+    /** An abort was written. */
     void abortEnded() {
         unwrittenAborts--;
     }
@@ -134,6 +161,13 @@
         return held == null ? null : held.attempt();
     }
 
+    /** Keeps a retry of a request off this connection, where a second answer to its last attempt may still come. */
+    void keepRetryOff(String id) {
+        if (answered.add(id) && answered.size() > ANSWERED_KEPT) {
+            answered.remove(answered.iterator().next());
+        }
+    }
+
     /** Takes all attempts off. */
     List<Open> drop() {
         List<Open> all = new ArrayList<>(open.values());
--- a/src/main/java/petrelplank/server/ServerPool.java
+++ b/src/main/java/petrelplank/server/ServerPool.java
@@ -28,11 +28,6 @@
      * made where the least used carries this many, up to the most for a server.
      */
     private static final int FEW = 2;
-    /** An answer of which nothing more comes over so many sweeps has stopped short; 36 ms were seen on good days. */
-    private static final int STUCK_SWEEPS = 4;
-    /** An abort is written in the I/O thread's next turn unless the server reads nothing: not so at two sweeps. */
-    private static final int BLOCKED_SWEEPS = 2;
-    private static final long SWEEP_US = 75_000;
     /** Connections lost in a row before a command was written: so many are made anew, then the server is at fault. */
     private static final int MOST_RENEWED = 3;
     /** How long a connection that failed to be made may still hold its descriptor. */
@@ -70,25 +65,7 @@
         // Guards good servers in a front that is held up itself: MINA's connecting thread looks at what has been made
         // before what has run out of time. A timer of the event thread would fire while that thread waits for its turn.
         connector.setConnectTimeoutMillis(Math.max(1, limits.connectUs() / 1000));
-        loop.post(this::sweep);
-    }
-
-    /**
-     * Guards what is open on a connection against an answer on it that stops short: nothing behind it can be read
-     * any more, while the connection stays open. And against a server that reads nothing, to which no abort gets
-     * through: closing the connection gives up what is open on it.
-     */
-    private void sweep() {
-        for (ServerConnection c : List.copyOf(connections)) {
-            if (c.stuck(STUCK_SWEEPS)) {
-                faults.stuck(c.server.id);
-                c.close();
-            } else if (c.blocked(BLOCKED_SWEEPS)) {
-                faults.blocked(c.server.id);
-                c.close();
-            }
-        }
-        loop.at(loop.now() + SWEEP_US, this::sweep);
+        new StalledConnections(loop, connections, faults).start();
     }
 
     @Override
@@ -139,6 +116,12 @@
             return c;
         }
         ServerConnection best = server.leastLoaded(fetch.id(), loop.now() - limits.idleUs() * 7 / 10);
+        if (best == null && server.carried(fetch.id()) && limits.share().free() > 0) {
+            // Guards a retry at the same server against a late answer to its first try: on a connection of its own.
+            best = connect(server);
+            best.retiring = true;
+            return best;
+        }
         boolean full = best == null || best.load() >= FEW && limits.share().held() < limits.share().most() / 2;
         if (full && server.taking() < limits.perServer() && limits.share().free() > 0) {
             best = connect(server);
@@ -200,6 +183,9 @@
         c.server.renewed = 0;
         for (ServerAnswer answer : answers) {
             Attempt attempt = c.answered(answer.id());
+            if (!limits.copies() && answer.status() != Status.OK) {
+                c.keepRetryOff(answer.id());
+            }
             if (attempt == null) {
                 faults.unasked();
             } else {
--- a/src/main/java/petrelplank/socket/BoundedAcceptor.java
+++ b/src/main/java/petrelplank/socket/BoundedAcceptor.java
@@ -90,6 +90,16 @@
         processor.closeSpare(session, still, kept);
     }
 
+    /**
+     * Ends the sending side of a connection.
+     *
+     * @param session the connection
+     * @param done see {@link SharedProcessor#shutdownOutput}
+     */
+    public void shutdownOutput(IoSession session, BooleanSupplier done) {
+        processor.shutdownOutput(session, done);
+    }
+
     /**
      * Places kept free, so that a newcomer needn't wait until a descriptor has been closed.
      *
--- a/src/main/java/petrelplank/socket/SharedProcessor.java
+++ b/src/main/java/petrelplank/socket/SharedProcessor.java
@@ -42,6 +42,10 @@
 
     private record Spare(IoSession session, BooleanSupplier still, Runnable kept) { }
 
+    private final Queue<Finishing> finishing = new ConcurrentLinkedQueue<>();
+
+    private record Finishing(IoSession session, BooleanSupplier done) { }
+
     /**
      * A loop that starts with its first socket.
      *
@@ -98,6 +102,36 @@
         wakeup();
     }
 
+    /**
+     * Shuts the sending side of a connection down once all is written: closing it over unread bytes would reset it,
+     * and take answers with it that the client has not read yet. From any thread.
+     *
+     * @param session the connection
+     * @param done whether nothing more is to be written; asked in the I/O thread at each turn until it holds
+     */
+    public void shutdownOutput(IoSession session, BooleanSupplier done) {
+        finishing.add(new Finishing(session, done));
+        wakeup();
+    }
+
+    private void finish(Finishing last) {
+        SelectionKey key = key(last.session);
+        if (key == null || !key.isValid()) {
+            finishing.remove(last);
+        } else if (last.done.getAsBoolean()) {
+            finishing.remove(last);
+            shutdownOutput(key);
+        }
+    }
+
+    private static void shutdownOutput(SelectionKey key) {
+        try {
+            ((SocketChannel) key.channel()).shutdownOutput();
+        } catch (IOException e) {
+            // It is broken, and will be closed for that.
+        }
+    }
+
     /** Right behind the selector's look, so that a client is told of the close before it can have sent much. */
     private void closeSpares(int asked) {
         for (int i = 0; i < asked; i++) {
@@ -108,11 +142,7 @@
                 spare.kept.run();
                 continue;
             }
-            try {
-                ((SocketChannel) key.channel()).shutdownOutput();
-            } catch (IOException e) {
-                // It is broken: the close below is all that is left to do.
-            }
+            shutdownOutput(key);
             spare.session.closeNow();
         }
     }
@@ -141,6 +171,7 @@
     @Override
     protected int select(long timeoutMs) throws Exception {
         turns++;
+        finishing.forEach(this::finish);
         if (!closing.isEmpty() || !spares.isEmpty()) {
             int asked = spares.size();
             // Guards against a lost wake-up, which this turn takes away: its flag is set before the selector is woken.
--- a/src/test/java/petrelplank/cli/LoopbackFixture.java
+++ b/src/test/java/petrelplank/cli/LoopbackFixture.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -54,6 +55,8 @@
     FakeServer.Line follow;
     Path file;
     final List<Event> recorded = new CopyOnWriteArrayList<>();
+    /** Run in the event thread as it records an event: holds that thread at a known place. */
+    volatile Consumer<Event> onRecord = event -> { };
     /** Moves the front's clock on. */
     final AtomicLong laterUs = new AtomicLong();
     /** Looks at it that move it on by half a second each, as in a process that waits for its turn. */
@@ -88,7 +91,10 @@
             }
             long step = steps.getAndUpdate(n -> Math.max(0, n - 1)) > 0 ? 500_000 : 0;
             return now.getEpochSecond() * 1_000_000 + now.getNano() / 1000 + laterUs.addAndGet(step);
-        }, (unixUs, event) -> recorded.add(event));
+        }, (unixUs, event) -> {
+            recorded.add(event);
+            onRecord.accept(event);
+        });
         front.open(new InetSocketAddress("127.0.0.1", 0));
         events = new Thread(front::run);
         events.start();
--- /dev/null
+++ b/src/test/java/petrelplank/cli/LoopbackGoneClientsTest.java
@@ -0,0 +1,118 @@
+package petrelplank.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import petrelplank.client.FcgiClient;
+import petrelplank.record.Event;
+import petrelplank.server.FakeServer;
+
+/** A client that closes its connection or cancels its request has gone: nothing is sent for it any more. */
+class LoopbackGoneClientsTest extends LoopbackFixture {
+    private static final String GONE = "bbbbbbbbbbbbbbbb";
+
+    private final CountDownLatch reached = new CountDownLatch(1);
+    private final CountDownLatch goOn = new CountDownLatch(1);
+
+    /** Holds the event thread where it records an event of a kind, once. */
+    private void holdAt(Class<? extends Event> kind) {
+        onRecord = event -> {
+            if (kind.isInstance(event)) {
+                onRecord = next -> { };
+                reached.countDown();
+                awaitGoOn();
+            }
+        };
+    }
+
+    private void awaitGoOn() {
+        try {
+            goOn.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Health is answered by the I/O thread alone: at the second answer it has read all that was there before. */
+    private void ioThreadHasRead() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            client.ask(9, "/_health", NOTHING);
+            assertThat(client.answer()).startsWith("9 Status: 200");
+        }
+    }
+
+    private void askOn(FcgiClient asking, String request) throws IOException {
+        asking.ask(1, "/invoke/media", NOTHING, "X-Request-Id", request, "X-Timeout-Ms", "60000", "X-Object",
+            "7f3a9c21e0b4d655", "X-N", "0", "X-Shard", "17");
+    }
+
+    /** The next command of all is that of a request which came later. */
+    private void nothingWasSentForIt() throws IOException, InterruptedException {
+        ask(2, "cccccccccccccccc", "media");
+        FakeServer.Line fetch = cache.next();
+        assertThat(fetch.word(1)).isEqualTo("cccccccccccccccc");
+        fetch.reply("cccccccccccccccc ACK tell=HIT 3\r\none\r\n");
+        assertThat(client.answer()).startsWith("2 Status: 200");
+    }
+
+    @Test
+    void requestOfAClientThatClosedIsNotRouted() throws IOException, InterruptedException {
+        holdAt(Event.Taken.class);
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
+        reached.await();
+        try (FcgiClient gone = new FcgiClient(front.address())) {
+            askOn(gone, GONE);
+        }
+        ioThreadHasRead();
+        goOn.countDown();
+        assertThat(cache.next().word(1)).isEqualTo("aaaaaaaaaaaaaaaa");
+        nothingWasSentForIt();
+        assertThat(recorded.stream().filter(Event.Taken.class::isInstance)).hasSize(2);
+    }
+
+    @Test
+    void attemptOfAClientThatClosedIsNotWritten() throws IOException, InterruptedException {
+        holdAt(Event.Sent.class);
+        try (FcgiClient gone = new FcgiClient(front.address())) {
+            askOn(gone, GONE);
+            reached.await();
+        }
+        ioThreadHasRead();
+        goOn.countDown();
+        nothingWasSentForIt();
+    }
+
+    @Test
+    void attemptOfACancelledRequestIsNotWritten() throws IOException, InterruptedException {
+        holdAt(Event.Sent.class);
+        try (FcgiClient gone = new FcgiClient(front.address())) {
+            askOn(gone, GONE);
+            reached.await();
+            gone.abort(1);
+            ioThreadHasRead();
+            goOn.countDown();
+            nothingWasSentForIt();
+        }
+    }
+
+    /** A retry is ordered by the end of the first attempt; its client may have left in that very moment. */
+    @Test
+    void retryOfAClientThatClosedIsNotWritten() throws IOException, InterruptedException {
+        try (FcgiClient gone = new FcgiClient(front.address())) {
+            askOn(gone, GONE);
+            FakeServer.Line first = cache.next();
+            holdAt(Event.Ended.class);
+            first.reset();
+            reached.await();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        ioThreadHasRead();
+        goOn.countDown();
+        nothingWasSentForIt();
+        assertThat(parent.quiet() && origin.quiet()).isTrue();
+    }
+}
--- a/src/test/java/petrelplank/cli/OtherSiteTest.java
+++ b/src/test/java/petrelplank/cli/OtherSiteTest.java
@@ -77,6 +77,25 @@
         assertThat(client.answer()).startsWith("1 Status: 200").endsWith("old");
     }
 
+    /** An answer that comes twice ends one attempt: not the retry of its request at the same cache, which is still out. */
+    @Test
+    void answerThatComesTwiceDoesNotEndTheRetry() throws IOException, InterruptedException {
+        ask(1, "aaaaaaaaaaaaaaaa", "media");
+        FakeServer.Line first = cache.next();
+        first.reply("aaaaaaaaaaaaaaaa NOENT tell=UP_MISS 0\r\n\r\n");
+        FakeServer.Line retry = cache.next();
+        assertThat(retry.word(1)).isEqualTo("aaaaaaaaaaaaaaaa");
+        first.reply("aaaaaaaaaaaaaaaa NOENT tell=UP_MISS 0\r\n\r\n");
+        ask(2, "bbbbbbbbbbbbbbbb", "media");
+        FakeServer.Line other = cache.next();
+        assertThat(other.word(1)).as("the next command of all").isEqualTo("bbbbbbbbbbbbbbbb");
+        other.reply("bbbbbbbbbbbbbbbb ACK tell=HIT 3\r\ntwo\r\n");
+        assertThat(client.answer()).startsWith("2 Status: 200").endsWith("two");
+        retry.reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        assertThat(client.answer()).startsWith("1 Status: 200").endsWith("one");
+        assertThat(cache.quiet() && parent.quiet() && origin.quiet()).as("no third attempt").isTrue();
+    }
+
     /** No second copy: the first attempt is given up on the wire before the next one is written. */
     @Test
     void silentAttemptIsCalledOffBeforeTheNextOneIsWritten() throws IOException, InterruptedException {
--- a/src/test/java/petrelplank/client/FcgiClient.java
+++ b/src/test/java/petrelplank/client/FcgiClient.java
@@ -15,6 +15,8 @@
 /** A web server's side of FastCGI, blocking, for loopback tests. */
 public final class FcgiClient implements AutoCloseable {
     private static final int PATIENCE_MS = 20_000;
+    /** Of a BEGIN_REQUEST record: behind its header of 8 bytes and the role. */
+    private static final int FLAGS_AT = 10;
 
     private final Socket socket;
     private final RecordParser parser = new RecordParser();
@@ -35,6 +37,14 @@
         raw(all.toByteArray());
     }
 
+    /** Asks without KEEP_CONN: the front is to close the connection behind the answer. */
+    public void askLast(int id, String script) throws IOException {
+        byte[] begun = start(id, script, new byte[0]);
+        begun[FLAGS_AT] = 0;
+        raw(begun);
+        end(id);
+    }
+
     /** Sends all of a request but its end; see {@link #end}. */
     public void begin(int id, String script, byte[] body, String... headers) throws IOException {
         raw(start(id, script, body, headers));
--- a/src/test/java/petrelplank/server/WithdrawnTest.java
+++ b/src/test/java/petrelplank/server/WithdrawnTest.java
@@ -8,13 +8,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.DummySession;
 import org.apache.mina.core.write.WriteRequest;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import petrelplank.front.Answer;
 import petrelplank.front.Attempt;
 import petrelplank.front.Attempts;
+import petrelplank.front.ResponseChannel;
 
 /** What is given up before it was written never is; what is given up half written goes with its connection. */
 class WithdrawnTest {
@@ -92,6 +95,17 @@
         assertFalse(connection.blocked(2));
     }
 
+    /** The next attempt went out before the close that gives this one up: MINA closes behind all that is to be written. */
+    @Test
+    void abortThatIsDroppedWithItsConnectionDoesNotCountAsWritten() {
+        Attempt first = send("aaaaaaaaaaaaaaaa");
+        session.write(ALL);
+        assertTrue(abort(first));
+        connection.close();
+        assertTrue(session.isClosing());
+        assertEquals(List.of(), written);
+    }
+
     @Test
     void commandGivenUpHalfWrittenEndsItsConnection() {
         Attempt first = send("aaaaaaaaaaaaaaaa");
@@ -110,6 +124,46 @@
         assertFalse(connection.written(open.get(1)));
     }
 
+    /** Where settings allow no cancellation nothing withdraws a command whose client has left; it is not written. */
+    @Test
+    void commandWhoseClientHasLeftIsNeverWritten() {
+        AtomicBoolean left = new AtomicBoolean();
+        Attempt first = Attempts.of("aaaaaaaaaaaaaaaa", 0, channel(left));
+        connection.send(first, 0);
+        left.set(true);
+        assertEquals("", session.write(ALL));
+        assertTrue(connection.withdraw(first), "what was passed over counts as never written");
+        assertFalse(connection.withdraw(first));
+    }
+
+    /** The connection comes up late: what it was made for is written only where somebody still waits. */
+    @Test
+    void whatNobodyWaitsForIsNotWrittenAsTheConnectionComesUp() {
+        ServerConnection late = new ServerConnection(connection.server, 100, 0);
+        AtomicBoolean left = new AtomicBoolean();
+        Attempt gone = Attempts.of("aaaaaaaaaaaaaaaa", 0, channel(left));
+        late.send(gone, 0);
+        late.send(Attempts.of("bbbbbbbbbbbbbbbb", 0), 0);
+        left.set(true);
+        Blocked made = new Blocked();
+        late.connected(made, 0);
+        String out = made.write(ALL);
+        assertTrue(out.startsWith("fetch bbbbbbbbbbbbbbbb ") && !out.contains("aaaaaaaaaaaaaaaa"), out);
+        assertTrue(late.withdraw(gone));
+    }
+
+    private static ResponseChannel channel(AtomicBoolean left) {
+        return new ResponseChannel() {
+            @Override
+            public void answer(Answer answer) { }
+
+            @Override
+            public boolean isOpen() {
+                return !left.get();
+            }
+        };
+    }
+
     /** Where no second copies are allowed, the next attempt waits for the abort before it, or its connection's end. */
     @Test
     void nextAttemptWaitsUntilTheLastIsGivenUpOnTheWire() {
