--- a/src/main/java/petrelplank/decision/Brain.java
+++ b/src/main/java/petrelplank/decision/Brain.java
@@ -126,6 +126,7 @@
     private double retryTokens = RETRY_CAP;
     private final Map<String, Tenant> tenants = new HashMap<>();
     private final Map<String, Rate> tenantRates = new HashMap<>();
+    private long beganUs = Long.MAX_VALUE;
     private double quickestUs = Double.MAX_VALUE;
     private long loggedUs = Long.MIN_VALUE / 2;
 
@@ -163,6 +164,7 @@
 
     @Override
     public void roster(long now, boolean complete, List<Member> members) {
+        beganUs = Math.min(beganUs, now);
         if (complete) {
             nodes.values().forEach(n -> n.state = State.GONE);
         }
@@ -171,7 +173,7 @@
             if (m.startedUs() != n.startedUs) {
                 n.startedUs = m.startedUs();
                 holders.values().removeIf(n::equals);
-                n.tokensUs = -1;
+                n.tokensAtUs = 0;
                 n.failures = 0;
                 n.ejected = false;
                 n.stretch = 1;
@@ -482,7 +484,7 @@
     /**
      * Slow start: a token bucket in sending time, sized so that all gateways together stay under the stated
      * multiple of the server's least capacity. All that is sent to it or names it counts. Without weights,
-     * capacity is what warm servers bear from us.
+     * capacity is what warm servers bear from us. Gateways that restart together must not bring a burst each.
      */
     private boolean affords(Node n, double workUs, long now) {
         double limit = coldLimit(n, now);
@@ -490,14 +492,15 @@
             return true;
         }
         double size = limit * rules.fallUs();
-        n.tokensUs = n.tokensUs < 0 ? size : Math.min(size, n.tokensUs + limit * (now - n.tokensAtUs));
+        double first = n.startedUs < beganUs ? 0 : size;
+        n.tokensUs = n.tokensAtUs == 0 ? first : Math.min(size, n.tokensUs + limit * (now - n.tokensAtUs));
         n.tokensAtUs = now;
         return n.tokensUs >= workUs;
     }
 
     private void charge(Node n, double workUs, long now) {
         if (!affords(n, Double.MAX_VALUE, now)) {
-            n.tokensUs = Math.max(0, n.tokensUs - workUs);
+            n.tokensUs -= workUs;
         }
     }
 
--- a/src/main/java/petrelplank/decision/Node.java
+++ b/src/main/java/petrelplank/decision/Node.java
@@ -48,10 +48,11 @@
     final double[] q;
 
     final boolean[] heard;
-    /** Cold budget left, in sending time; below 0 before its first use. */
-    double tokensUs = -1;
-
+    /** Cold budget left, in sending time; below 0 where more was sent than it held. */
+    double tokensUs;
+    /** When it was last filled; 0 before its first use. */
     long tokensAtUs;
+
     final Rate sent = new Rate();
     /** Rendezvous score for the request in hand; the least comes first. */
     double score;
--- a/src/test/java/petrelplank/FileLengthTest.java
+++ b/src/test/java/petrelplank/FileLengthTest.java
@@ -14,7 +14,7 @@
 class FileLengthTest {
     private static final int MOST = 250;
     private static final Map<String, Integer> LONGER = Map.ofEntries(
-            Map.entry("main/java/petrelplank/decision/Brain.java", 1019),
+            Map.entry("main/java/petrelplank/decision/Brain.java", 1022),
             Map.entry("main/java/petrelplank/emulator/Box.java", 276),
             Map.entry("main/java/petrelplank/emulator/Truth.java", 265),
             Map.entry("main/java/petrelplank/emulator/World.java", 518),
--- /dev/null
+++ b/src/test/java/petrelplank/decision/ColdFleetTest.java
@@ -0,0 +1,108 @@
+package petrelplank.decision;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import petrelplank.decision.Events.Member;
+import petrelplank.decision.Events.State;
+import petrelplank.decision.Site.Notes;
+import petrelplank.decision.Site.Weights;
+
+/**
+ * A cold cache under the sum of what all gateways of its zone send, in simulated time. What it is sent is counted at
+ * the cache, in any window of the rule's length, against what the settings allow it by the window's end.
+ */
+class ColdFleetTest {
+    private static final long MS = Recorder.MS;
+    private static final long S = Recorder.S;
+    private static final String COLD = "a";
+    private static final double WEIGHT = 40;
+    private static final long WORK_US = 100 * MS;
+    private static final long STEP_US = 5 * MS;
+    private static final int STEPS = 1000;
+    private static final int ASKED_EACH_STEP = 24;
+
+    private final SplittableRandom random = new SplittableRandom(11);
+    private final Deque<Long> window = new ArrayDeque<>();
+    private final long startedUs = 100 * S;
+    private int sent;
+    private double worst = Double.NEGATIVE_INFINITY;
+
+    private static Recorder gateway(int gateways) {
+        return new Recorder(Recorder.settings(Weights.NOMINAL, Notes.ALL, Recorder.allowed(), gateways));
+    }
+
+    private Recorder started(int gateways, long nowUs) {
+        Recorder host = gateway(gateways);
+        host.now = nowUs;
+        List<Member> members = new ArrayList<>();
+        for (String id : List.of(COLD, "b", "c")) {
+            members.add(new Member(id, "office", "box", 0, State.UP, WEIGHT, id.equals(COLD) ? startedUs : 0));
+        }
+        members.add(Recorder.parent("p-north", "north", 0));
+        host.router.roster(nowUs, true, members);
+        return host;
+    }
+
+    private double allowed(long nowUs) {
+        Site.Rules rules = Recorder.rules();
+        double ramp = rules.coldFrom() + (1 - rules.coldFrom()) * (nowUs - startedUs) / rules.warmUs();
+        return rules.fallMultiple() * Math.min(1, ramp) * WEIGHT * rules.fallUs() / WORK_US;
+    }
+
+    private void audit(long nowUs) {
+        window.add(nowUs);
+        sent++;
+        while (window.peek() < nowUs - Recorder.rules().fallUs()) {
+            window.poll();
+        }
+        double most = allowed(nowUs);
+        worst = Math.max(worst, window.size() - most - 2 * Math.sqrt(most) - 2);
+    }
+
+    /** All gateways ask for far more than the cache bears; a share of them starts anew, several times. */
+    @ParameterizedTest
+    @CsvSource({"2, 0.7", "20, 0.7", "30, 0.7", "100, 0.7", "30, 0.1", "100, 0.1"})
+    void sumOfAllGatewaysStaysWithinTheBudget(int gateways, double restarted) {
+        List<Recorder> fleet = new ArrayList<>();
+        for (int i = 0; i < gateways; i++) {
+            fleet.add(started(gateways, startedUs));
+        }
+        long object = 0;
+        for (int step = 0; step < STEPS; step++) {
+            long now = startedUs + step * STEP_US;
+            if (step % 100 == 99) {
+                for (int i = 0; i < gateways; i++) {
+                    if (random.nextDouble() < restarted) {
+                        fleet.set(i, started(gateways, now));
+                    }
+                }
+            }
+            for (int i = 0; i < ASKED_EACH_STEP; i++) {
+                // Some gateways get several times the mean.
+                int at = (int) (gateways * random.nextDouble() * random.nextDouble());
+                ask(fleet.get(at), now, object++);
+            }
+        }
+        assertThat(worst).as("over the budget and chance").isNegative();
+        assertThat(sent).as("sent to the cold cache at all").isGreaterThan(gateways);
+    }
+
+    private void ask(Recorder host, long now, long object) {
+        host.now = now;
+        int before = host.sent.size();
+        String id = host.ask(object);
+        if (host.sent.size() > before && host.last().server().equals(COLD)) {
+            audit(now);
+        }
+        if (host.attempts(id) > 0) {
+            host.router.clientGone(now, id);
+        }
+    }
+}
