An empty whole list is not taken, a new configuration's events bind; tests of discovery, signals, servers

Seen by tests written for these crossings: - A whole list without an entry took every server out, and all was refused; the last good list stays now, and the stream is followed anew (Follower.told). The handler of SIGTERM is set before the front listens.

The stand-in now waits until it refuses; what is asserted is the same.

--- a/src/main/java/petrelplank/cli/Logs.java
+++ b/src/main/java/petrelplank/cli/Logs.java
@@ -16,6 +16,8 @@
             throw new IllegalStateException("logging was set up before, by " + LogManager.getLogManager());
         }
         MINA.setLevel(Level.WARNING);
+        // Made by the first line else, and never once a shutdown has begun: SIGTERM before it left no log at all.
+        Logger.getLogger("").getHandlers();
     }
 
     /**
--- a/src/main/java/petrelplank/cli/RunningFront.java
+++ b/src/main/java/petrelplank/cli/RunningFront.java
@@ -186,9 +186,16 @@
         }
     }
 
-    /** Follows a coordinator at another address, from the last number heard; from any thread. */
-    void follow(InetSocketAddress coordinator) {
+    /**
+     * Follows a coordinator at another address, from the last number heard; from any thread.
+     *
+     * @param coordinator its address
+     * @param known events of a new configuration; those already heard are passed over
+     */
+    void follow(InetSocketAddress coordinator, List<Fields> known) {
+        List<ListEvent> events = known.stream().map(EventDecoder::decode).toList();
         loop.postUrgent(() -> {
+            events.forEach(front::told);
             LOG.info("SIGHUP: following the coordinator at " + coordinator + " from " + front.listIndex());
             follower.follow(coordinator);
         });
--- a/src/main/java/petrelplank/cli/Serve.java
+++ b/src/main/java/petrelplank/cli/Serve.java
@@ -53,6 +53,7 @@
             if (!Signals.on("HUP", () -> reload(front, new File(config)))) {
                 LOG.warning("started with SIGHUP ignored (nohup?): a new configuration will not be read");
             }
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front), "drain"));
             front.open(listen == null ? c.listen() : Addresses.parse(listen));
         } catch (JsonProcessingException e) {
             return unusable(config + ": not JSON: " + e.getOriginalMessage());
@@ -61,7 +62,6 @@
         } catch (IOException | FormatException | IllegalArgumentException e) {
             return unusable(config + ": " + e.getMessage());
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(front), "drain"));
         front.run();
         return 0;
     }
@@ -69,7 +69,8 @@
     /** Guards the process: whatever is wrong with the new file, the front goes on with what it has. */
     static void reload(RunningFront front, File file) {
         try {
-            front.follow(Configuration.read(file).coordinator());
+            Configuration next = Configuration.read(file);
+            front.follow(next.coordinator(), next.known());
         } catch (IOException | RuntimeException e) {
             LOG.warning("SIGHUP: " + file + " can't be used, the old configuration stays: "
                     + String.valueOf(e.getMessage()).replace('\n', ' '));
--- a/src/main/java/petrelplank/coordinator/Follower.java
+++ b/src/main/java/petrelplank/coordinator/Follower.java
@@ -178,6 +178,11 @@
             // Guards against a drain or a purge that was left out. A gap that stays when asked again is no loss.
             askedAgainFrom = last;
             broken(mine, "left out events between " + last + " and " + event.index());
+        } else if (event instanceof ListEvent.Change list
+                && list.complete()
+                && list.entries().isEmpty()) {
+            // Guards the service against a list that fails without an error: the last good one stays.
+            broken(mine, "sent an empty list");
         } else if (!(event instanceof ListEvent.Beat)) {
             heard = true;
             front.told(event);
--- a/src/test/java/petrelplank/cli/FrontProcesses.java
+++ b/src/test/java/petrelplank/cli/FrontProcesses.java
@@ -103,6 +103,11 @@
         return processes.get(i).pid();
     }
 
+    /** Front {@code i} itself. */
+    Process process(int i) {
+        return processes.get(i);
+    }
+
     /** Whether every front still runs. */
     boolean allAlive() {
         return processes.stream().allMatch(Process::isAlive);
--- a/src/test/java/petrelplank/cli/LoopbackDrainTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackDrainTest.java
@@ -36,6 +36,32 @@
         ended.await();
     }
 
+    /** Half of it was there at SIGTERM, the rest comes while requests are still taken: it is served. */
+    @Test
+    void requestThatIsHalfReadAtTheDrainIsServed() throws IOException, InterruptedException {
+        client.begin(
+                1,
+                "/invoke/media",
+                NOTHING,
+                "X-Request-Id",
+                "aaaaaaaaaaaaaaaa",
+                "X-Timeout-Ms",
+                "60000",
+                "X-Object",
+                "7f3a9c21e0b4d655",
+                "X-N",
+                "0",
+                "X-Shard",
+                "17");
+        CountDownLatch ended = new CountDownLatch(1);
+        front.drain(ended::countDown);
+        client.end(1);
+        cache.next().reply("aaaaaaaaaaaaaaaa ACK tell=HIT 3\r\none\r\n");
+        assertTrue(client.answer().startsWith("1 Status: 200"));
+        assertEquals("closed", client.answer());
+        ended.await();
+    }
+
     /** The drain's last answer is final: what is out is called off, and neither a silence nor a reset sends it on. */
     @Test
     void requestThatTheDrainFailsIsCalledOffAndNotSentOn() throws IOException, InterruptedException {
--- a/src/test/java/petrelplank/cli/LoopbackWritesTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackWritesTest.java
@@ -74,7 +74,7 @@
     /** Nothing ran, so a further way is allowed; where there is none, the client may come again. */
     @Test
     void singleShotThatWasNeverWrittenIsNotFailed() throws IOException, InterruptedException {
-        origin.close();
+        origin.refuse();
         ask(1, "aaaaaaaaaaaaaaaa", "stock-move");
         FakeServer.Line other = parent.next();
         assertTrue(other.text().contains(",from=o-1 "), other.text());
--- a/src/test/java/petrelplank/server/FakeServer.java
+++ b/src/test/java/petrelplank/server/FakeServer.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -35,19 +36,21 @@
     }
 
     private final ServerSocket listener;
+    private final Thread accepting;
     private final BlockingQueue<Line> lines = new LinkedBlockingQueue<>();
     private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
 
     /** Listens on a free port. */
     public FakeServer() throws IOException {
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        daemon(this::accept);
+        accepting = daemon(this::accept);
     }
 
-    private static void daemon(Runnable task) {
+    private static Thread daemon(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void accept() {
@@ -100,6 +103,18 @@
         return lines.isEmpty();
     }
 
+    /** Stops listening and waits until connections are refused: an accept under way may still take one after a close. */
+    public void refuse() throws IOException, InterruptedException {
+        int port = listener.getLocalPort();
+        listener.close();
+        accepting.join();
+        try (Socket taken = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            throw new AssertionError("still taken at " + taken.getPort());
+        } catch (ConnectException e) {
+            // as it should be
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
