--- a/src/test/java/petrelplank/cli/LoopbackGoneClientsTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackGoneClientsTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import petrelplank.client.FcgiClient;
@@ -106,8 +105,6 @@
             holdAt(Event.Ended.class);
             first.reset();
             reached.await();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         }
         ioThreadHasRead();
         goOn.countDown();
