--- a/review/src/Proxy.java
+++ b/review/src/Proxy.java
@@ -15,6 +15,8 @@
     /** The limits on the scored days, as DEPLOY states them. */
     static final int MEMORY_MB = 192;
     static final int SOCKETS = 1024;
+    /** The rate of one transfer: that of the settings (flow-kb-per-s), so that sizes need no conversion. */
+    static final long FLOW_BYTES_PER_S = 8_200 * 1024;
 
     final InetSocketAddress listen;
     final Path config;
@@ -48,7 +50,8 @@
     void configure(InetSocketAddress coordinator, List<String> known, String settings) throws IOException {
         String json = "{\"name\":\"" + name + "\",\"listen\":\"" + text(listen) + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS + "},"
-                + "\"coordinator\":\"" + text(coordinator) + "\",\"known\":{\"index\":" + known.size()
+                + "\"coordinator\":\"" + text(coordinator) + "\",\"flow_bytes_per_s\":" + FLOW_BYTES_PER_S
+                + ",\"link_bytes_per_s\":" + 10 * FLOW_BYTES_PER_S + ",\"known\":{\"index\":" + known.size()
                 + ",\"updates\":[" + String.join(",", known) + "]},\"settings\":" + settings + "}";
         Path next = folder.resolve(name + ".json.next");
         Files.writeString(next, json);
--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -9,7 +9,7 @@
 
     private static final int RECEIVE_BUFFER = 65_536;
     /** With the others, under a third of the descriptor limit (341 of 1,024). */
-    private static final int SLOW_CLIENTS = 100;
+    private static final int SLOW_CLIENTS = 130;
 
     private static final int FAST_CLIENTS = 50;
     /** One in this many requests comes from a client that reads at full speed. */
@@ -17,7 +17,7 @@
     /** A client with so many open requests on its connection sends no further one. */
     private static final int MAX_OPEN = 32;
 
-    private static final int REQUESTS = 4_000;
+    private static final int REQUESTS = 9_000;
     /** "On one day two of them receive up to 950" requests a second. */
     private static final int REQUESTS_PER_SECOND = 950;
 
--- a/review/src/Surroundings.java
+++ b/review/src/Surroundings.java
@@ -1,7 +1,12 @@
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32;
 
 /** A small deployment on loopback: some caches of one branch, a hub cache, the central stock, a coordinator, a proxy. */
@@ -23,6 +28,7 @@
     /** The body of every object. */
     final byte[] body;
     final long bodySum;
+    private final ScheduledExecutorService transfers = Executors.newScheduledThreadPool(8);
 
     Surroundings(Path root, Path tmp, Record record, int cacheCount, int bodyBytes) throws Exception {
         for (int i = 1; i <= cacheCount; i++) {
@@ -53,11 +59,21 @@
         return nodes;
     }
 
-    /** A sound node: it has the object and sends it whole. */
-    private void serve(Node.Fetch fetch) throws java.io.IOException {
+    /** A sound node: it has the object and sends it whole, once the time of its transfer at a client's rate is over. */
+    private void serve(Node.Fetch fetch) {
+        transfers.schedule(() -> answer(fetch), body.length * 1_000_000L / Proxy.FLOW_BYTES_PER_S, TimeUnit.MICROSECONDS);
+    }
+
+    private void answer(Node.Fetch fetch) {
         String fields = "ver=5f0c22d1,born=" + (System.currentTimeMillis() - 100)
                 + ",tell=HIT,meter=concurrent:" + fetch.peer.open.size() + ";x0:0.7;x1:0.1";
-        fetch.peer.answer(fetch.id, "ACK", fields, body);
+        try {
+            if (!fetch.aborted) {
+                fetch.peer.answer(fetch.id, "ACK", fields, body);
+            }
+        } catch (IOException e) {
+            // the front has left
+        }
     }
 
     /** Starts the proxy and waits until it takes clients. */
@@ -114,8 +130,8 @@
                 record.say(broken ? "RULE BROKEN" : "rule held");
                 status = broken ? 1 : 0;
             } finally {
-                if (java.nio.file.Files.exists(tmp.resolve("n0.log"))) {
-                    for (String line : java.nio.file.Files.readAllLines(tmp.resolve("n0.log"))) {
+                if (Files.exists(tmp.resolve("n0.log"))) {
+                    for (String line : Files.readAllLines(tmp.resolve("n0.log"))) {
                         record.line("log of the proxy: " + line);
                     }
                 }
