--- a/review/src/SlowReaders.java
+++ b/review/src/SlowReaders.java
@@ -36,6 +36,7 @@
         List<Client> fast = connect(site, FAST_CLIENTS, 0);
         List<Client> clients = new ArrayList<>(slow);
         clients.addAll(fast);
+        List<Client> fastEver = new ArrayList<>(fast);
         long startNs = System.nanoTime();
         int mostOpen = 0;
         for (int i = 0; i < REQUESTS; i++) {
@@ -43,10 +44,18 @@
             if (waitMs > 0) {
                 Thread.sleep(waitMs);
             }
-            Client client = i % FAST_ONE_IN == 0
-                    ? fast.get(i / FAST_ONE_IN % FAST_CLIENTS)
-                    : slow.get((i - i / FAST_ONE_IN) % SLOW_CLIENTS);
-            if (client.ended == null && client.openCount() < MAX_OPEN) {
+            boolean isFast = i % FAST_ONE_IN == 0;
+            List<Client> group = isFast ? fast : slow;
+            int place = (isFast ? i / FAST_ONE_IN : i - i / FAST_ONE_IN) % group.size();
+            Client client = group.get(place);
+            if (client.ended != null) {
+                // A client whose connection was closed takes a new one.
+                client = connect(site, 1, isFast || !trouble ? 0 : BYTES_PER_SECOND).get(0);
+                group.set(place, client);
+                clients.add(client);
+                (isFast ? fastEver : new ArrayList<Client>()).add(client);
+            }
+            if (client.openCount() < MAX_OPEN) {
                 send(client, i, record);
                 mostOpen = Math.max(mostOpen, client.openCount());
             }
@@ -61,7 +70,7 @@
         int begun = 0;
         int lostOfFast = 0;
         for (Client client : clients) {
-            boolean isFast = fast.contains(client);
+            boolean isFast = fastEver.contains(client);
             for (Client.Call call : client.calls) {
                 boolean whole = !client.wasTaken(call)
                         || call.answered() && (!call.kind().equals("served") || site.isWhole(call));
