The I/O thread no longer blocks without a time limit while connections wait to be closed

Callers saw: on an otherwise quiet proxy an idle connection was not closed and a descriptor not released until the next I/O event, seen 2.4 s late in a trace of LoopbackSlowClientTest: closes requested, then no turn of the I/O loop until a discovery event. Cause: SharedProcessor.select used MINA's select() where it meant not to block; that one is Selector.select() without a time limit, and the wake-up that told of the close had just ended the selection before it. Change: selectNow(). The comment said that the selection does not block; now it doesn't.

--- a/src/main/java/petrelplank/transport/SharedProcessor.java
+++ b/src/main/java/petrelplank/transport/SharedProcessor.java
@@ -1,5 +1,6 @@
 package petrelplank.transport;
 
+import java.io.IOException;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -124,10 +125,10 @@
         loopIterations++;
         pendingCloses.shutDownFinishedOutputs(selector);
         // The JDK closes the descriptors of closed channels only during the next selection, and only a new selection
-        // tells whether bytes are unread on idle connections. Both are waited for, so this selection does not block.
+        // tells whether bytes are unread on idle connections. Both are waited for, so this selection must not block.
         if (descriptorReleases.hasPending() || pendingCloses.hasIdleCloses()) {
             int idleCloseCount = pendingCloses.idleCloseCount();
-            int readyCount = select();
+            int readyCount = selectNow();
             pendingCloses.closeIdleConnections(selector, idleCloseCount);
             // The selection above may have consumed a wake-up. MINA sets wakeupCalled before it wakes the
             // selector, so the flag is still set here and is checked; otherwise the selection below would miss the
@@ -151,9 +152,8 @@
         return readyCount;
     }
 
-    @Override
-    protected int select() throws Exception {
-        int readyCount = super.select();
+    private int selectNow() throws IOException {
+        int readyCount = selector.selectNow();
         selections.recordSelection();
         descriptorReleases.releasePending();
         return readyCount;
