A client connection is closed as idle or to make room only once its answers have arrived

Cause: FastCgiConnection.isUnused took bytes that MINA has handed to the kernel for delivered. A closed socket answers what comes in with a reset, and drops its send queue. Ruled out: bytes left in MINA's queue (all were in the kernel's by 1 s), the limits on unread bytes (their counts were 0) and a lack of descriptors. Change: before an idle close or an eviction the kernel is asked (SendQueues reads /proc/self/net, DeliveryMonitor does so off the event thread, at most every 50 ms and only where a connection timed out or room is short). While bytes are unacknowledged the connection stays; once they are gone its idle time starts anew. What the client's system has taken may still wait in its receive buffer: idle time also starts after the time that reading takes at 100 kB/s, 30 s at most. A client that takes no byte for 30 s (2 s while descriptors are short) is reset, also one whose answers fill the proxy's own queue, which was never closed before. A new count, 'kept open for undelivered responses', stands in the line of SIGTERM. Where the kernel doesn't list the sockets, written counts as delivered as before, and the time for reading remains. Why it works: the end of the stream is sent only behind acknowledged answers, so that a reset finds none left to drop. Tests: LoopbackSlowClientTest, the order forced by a second idle client whose closes are awaited. On idleCloseWaits... and evictionLeaves... fail with a reset, clientThatNeverReads... times out; all pass now.

--- a/src/main/java/petrelplank/fastcgi/ConnectionActivity.java
+++ b/src/main/java/petrelplank/fastcgi/ConnectionActivity.java
@@ -1,5 +1,6 @@
 package petrelplank.fastcgi;
 
+import java.util.concurrent.atomic.AtomicLong;
 import petrelplank.proxy.EventLoop;
 import petrelplank.transport.BoundedAcceptor;
 
@@ -15,14 +16,26 @@
      */
     private static final long FIRST_REQUEST_WAIT_US = REQUEST_TIMEOUT_US / 8;
 
+    /**
+     * What the client's system has accepted may still wait in its receive buffer, where the proxy cannot see it. A
+     * connection counts as idle only once a client that reads at this rate has read all of its responses.
+     */
+    private static final long MIN_CLIENT_BYTES_PER_SECOND = 100_000;
+    /** Longest time that the responses sent so far are assumed to take a client to read. */
+    private static final long MAX_READING_TIME_US = 30_000_000;
+
+    private static final long US_PER_SECOND = 1_000_000;
     private static final long NO_PARTIAL_REQUEST = 0;
 
     private final EventLoop loop;
     private final BoundedAcceptor acceptor;
     private final long acceptedAtTurn;
-    /** When a complete request was last received or a response sent; initially when the connection was opened. */
+    /** When a complete request was last received, or a response sent or delivered; initially when it was opened. */
     private volatile long lastUsedUs;
 
+    /** When a client that reads slowly has read all responses sent so far. */
+    private final AtomicLong readByUs = new AtomicLong();
+
     private volatile boolean receivedRequest;
     /**
      * When the I/O thread first saw that a request or record was incomplete; {@link #NO_PARTIAL_REQUEST} while there is
@@ -45,7 +58,15 @@
         lastUsedUs = loop.clockUs();
     }
 
-    void onResponseSent() {
+    void onResponseSent(int bytes) {
+        long nowUs = loop.clockUs();
+        lastUsedUs = nowUs;
+        long readingTimeUs = bytes * US_PER_SECOND / MIN_CLIENT_BYTES_PER_SECOND;
+        readByUs.updateAndGet(byUs -> Math.min(Math.max(byUs, nowUs) + readingTimeUs, nowUs + MAX_READING_TIME_US));
+    }
+
+    /** Called when the client's system has accepted all responses, some time after they were sent. */
+    void onResponsesDelivered() {
         lastUsedUs = loop.clockUs();
     }
 
@@ -81,6 +102,9 @@
         if (sinceUs > NO_PARTIAL_REQUEST && receivedRequest) {
             return nowUs - sinceUs > REQUEST_TIMEOUT_US;
         }
-        return nowUs - lastUsedUs > (receivedRequest ? IDLE_TIMEOUT_US : REQUEST_TIMEOUT_US);
+        if (!receivedRequest) {
+            return nowUs - lastUsedUs > REQUEST_TIMEOUT_US;
+        }
+        return nowUs - Math.max(lastUsedUs, readByUs.get()) > IDLE_TIMEOUT_US;
     }
 }
--- a/src/main/java/petrelplank/fastcgi/ConnectionCloseLog.java
+++ b/src/main/java/petrelplank/fastcgi/ConnectionCloseLog.java
@@ -13,6 +13,7 @@
     private long slowReaders;
     private long evictions;
     private long idleCloses;
+    private long delayedCloses;
 
     /** Creates a log; {@code maxConnections} is the maximum number of client connections. */
     ConnectionCloseLog(int maxConnections) {
@@ -45,9 +46,15 @@
         }
     }
 
+    /** Counts a connection that timed out or is to make room, and is kept until its responses are delivered. */
+    void countDelayedClose() {
+        delayedCloses++;
+    }
+
     /** Returns the counts as one line of text. */
     String counts() {
         return "closed for malformed input " + malformedInputs + ", for unread responses " + slowReaders
-                + ", near the connection limit " + evictions + ", when idle or timed out " + idleCloses;
+                + ", near the connection limit " + evictions + ", when idle or timed out " + idleCloses
+                + ", kept open for undelivered responses " + delayedCloses;
     }
 }
--- a/src/main/java/petrelplank/fastcgi/ConnectionReaper.java
+++ b/src/main/java/petrelplank/fastcgi/ConnectionReaper.java
@@ -1,6 +1,11 @@
 package petrelplank.fastcgi;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
 import petrelplank.proxy.EventLoop;
 import petrelplank.transport.BoundedAcceptor;
 import petrelplank.transport.DescriptorBudget;
@@ -11,12 +16,17 @@
  */
 final class ConnectionReaper {
     private static final long SWEEP_INTERVAL_US = 250_000;
+    /** A client that accepts no byte of its responses for this long does not read them. */
+    private static final long STALL_TIMEOUT_US = 30_000_000;
+    /** The same while few descriptors are left and no idle connection can make room. */
+    private static final long SHORT_STALL_TIMEOUT_US = 2_000_000;
 
     private final ListenerContext context;
     private final EventLoop loop;
     private final BoundedAcceptor acceptor;
     private final DescriptorBudget budget;
     private final Collection<FastCgiConnection> connections;
+    private final DeliveryMonitor deliveryMonitor;
 
     /**
      * Creates a reaper; {@link #sweep} starts it.
@@ -24,29 +34,42 @@
      * @param context the objects that all connections of the listener share
      * @param budget the file descriptors that client connections may hold
      * @param connections all open connections; a concurrent collection
+     * @param deliveryMonitor finds out whether responses have been delivered
      */
-    ConnectionReaper(ListenerContext context, DescriptorBudget budget, Collection<FastCgiConnection> connections) {
+    ConnectionReaper(
+            ListenerContext context,
+            DescriptorBudget budget,
+            Collection<FastCgiConnection> connections,
+            DeliveryMonitor deliveryMonitor) {
         this.context = context;
         this.loop = context.loop();
         this.acceptor = context.acceptor();
         this.budget = budget;
         this.connections = connections;
+        this.deliveryMonitor = deliveryMonitor;
     }
 
     /**
      * Closes connections that timed out, and schedules the next sweep. This frees the descriptors and memory of clients
-     * that send nothing, stop in the middle of a request, or keep connections open without using them. Called by the
-     * event thread.
+     * that send nothing, stop in the middle of a request, or keep connections open without using them. A connection with
+     * undelivered responses is kept for as long as its client goes on to read. Called by the event thread.
      */
     void sweep() {
         long nowUs = loop.nowUs();
+        List<FastCgiConnection> undelivered = new ArrayList<>();
         for (FastCgiConnection connection : connections) {
-            if (connection.hasLingerTimedOut(nowUs)) {
-                connection.closeNow();
-            } else if (connection.isTimedOut(nowUs)) {
-                connection.closeIfIdle(IdleConnectionCloser.Reason.IDLE);
+            if (!connection.isTimedOut(nowUs)) {
+                continue;
+            }
+            if (connection.isDelivered()) {
+                connection.closeTimedOut();
+            } else if (connection.isStalledFor(STALL_TIMEOUT_US)) {
+                connection.resetStalled();
+            } else {
+                undelivered.add(connection);
             }
         }
+        deliveryMonitor.check(undelivered);
         loop.schedule(nowUs + SWEEP_INTERVAL_US, this::sweep);
     }
 
@@ -58,22 +81,25 @@
     void evictIdleConnections() {
         long nowUs = loop.clockUs();
         while (budget.available() + context.status().pendingCloses() <= acceptor.reserve()) {
-            FastCgiConnection candidate = findLeastRecentlyUsed(nowUs);
-            if (candidate == null) {
+            Optional<FastCgiConnection> candidate = findLeastRecentlyUsed(connection -> connection.isEvictable(nowUs));
+            if (candidate.isEmpty()) {
+                makeRoomAmongUndelivered();
                 return;
             }
-            candidate.closeIfIdle(IdleConnectionCloser.Reason.CONNECTION_LIMIT);
+            candidate.get().closeIfIdle(IdleConnectionCloser.Reason.CONNECTION_LIMIT);
         }
     }
 
-    private FastCgiConnection findLeastRecentlyUsed(long nowUs) {
-        FastCgiConnection candidate = null;
-        for (FastCgiConnection connection : connections) {
-            if (connection.isEvictable(nowUs)
-                    && (candidate == null || connection.lastUsedUs() < candidate.lastUsedUs())) {
-                candidate = connection;
-            }
-        }
-        return candidate;
+    /** Closes one connection whose client does not read, and finds out which others may be closed the next time. */
+    private void makeRoomAmongUndelivered() {
+        findLeastRecentlyUsed(connection -> connection.isStalledFor(SHORT_STALL_TIMEOUT_US))
+                .ifPresent(FastCgiConnection::resetStalled);
+        deliveryMonitor.check(connections.stream()
+                .filter(connection -> !connection.isDelivered())
+                .toList());
+    }
+
+    private Optional<FastCgiConnection> findLeastRecentlyUsed(Predicate<FastCgiConnection> condition) {
+        return connections.stream().filter(condition).min(Comparator.comparingLong(FastCgiConnection::lastUsedUs));
     }
 }
--- a/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
@@ -7,6 +7,7 @@
 import petrelplank.proxy.ClientRequest;
 import petrelplank.proxy.ClientResponse;
 import petrelplank.proxy.EventLoop;
+import petrelplank.transport.SendQueues;
 
 /** A connection from a web server. The I/O thread reads its records; the event thread writes most responses. */
 final class FastCgiConnection implements RequestAssembler.Listener {
@@ -22,6 +23,7 @@
     private final RequestAssembler assembler;
     private final OpenRequests openRequests = new OpenRequests();
     private final ConnectionActivity activity;
+    private final ResponseDelivery delivery;
     private final IdleConnectionCloser idleCloser;
     /** Whether the input violated the protocol; further input is then ignored. Used by the I/O thread only. */
     private boolean protocolViolated;
@@ -35,43 +37,92 @@
         ListenerMemory memory = context.memory();
         this.assembler = new RequestAssembler(this, memory.requestBytes(), memory.maxRequestBytes());
         this.activity = new ConnectionActivity(loop, context.acceptor());
-        this.idleCloser = new IdleConnectionCloser(session, context, activity, this::isUnused);
+        this.delivery = new ResponseDelivery(session);
+        this.idleCloser = new IdleConnectionCloser(session, context, activity, this::isSettled);
     }
 
-    /** Whether the connection has no open requests and no unsent bytes, so that it may be closed. */
+    /** Whether the connection has no open requests and no unsent bytes. */
     boolean isUnused() {
         return openRequests.isEmpty() && session.getScheduledWriteBytes() == 0;
     }
 
-    /** Whether the connection may be closed to make room: it is unused, and its first request would have arrived. */
+    /** Whether all responses so far are known to have reached the client's system. */
+    boolean isDelivered() {
+        return outputShutdownUs > 0 || delivery.isComplete();
+    }
+
+    /**
+     * Whether the connection has no open requests, and all responses are known to have reached the client's system, so
+     * that a close cannot discard them.
+     */
+    boolean isSettled() {
+        return openRequests.isEmpty() && delivery.isComplete();
+    }
+
+    /** Whether the connection may be closed to make room: it is settled, and its first request would have arrived. */
     boolean isEvictable(long nowUs) {
-        // The order matters: a request is added to the open requests before it counts as received, so isUnused() sees
+        // The order matters: a request is added to the open requests before it counts as received, so isSettled() sees
         // a first request that arrives during these checks.
-        return idleCloser.isOpen() && activity.isFirstRequestReceivedOrOverdue(nowUs) && isUnused();
+        return idleCloser.isOpen() && activity.isFirstRequestReceivedOrOverdue(nowUs) && isSettled();
     }
 
-    /** Whether the connection is unused and has been idle, or a request on it incomplete, for too long. */
+    /**
+     * Whether the connection has been idle, or a request on it incomplete, for too long, or has not been closed by the
+     * client in time after its sending side was shut down. Responses on it may still be undelivered.
+     */
     boolean isTimedOut(long nowUs) {
+        if (outputShutdownUs > 0) {
+            return nowUs - Math.max(outputShutdownUs, activity.lastUsedUs()) > LINGER_TIMEOUT_US;
+        }
         boolean timedOut = activity.isTimedOut(nowUs);
-        return isUnused() && timedOut;
+        return openRequests.isEmpty() && timedOut;
     }
 
-    /** Whether the client has not closed the connection in time after its sending side was shut down. */
-    boolean hasLingerTimedOut(long nowUs) {
-        return outputShutdownUs > 0 && nowUs - outputShutdownUs > LINGER_TIMEOUT_US;
+    /** Whether the client has accepted none of its undelivered responses for this time; see {@link ResponseDelivery}. */
+    boolean isStalledFor(long durationUs) {
+        return openRequests.isEmpty() && delivery.isStalledFor(durationUs);
     }
 
     long lastUsedUs() {
         return activity.lastUsedUs();
     }
 
+    long writtenBytes() {
+        return delivery.writtenBytes();
+    }
+
+    /** Records what the kernel's list says of the bytes that had been written before it was read. */
+    void onDeliveryChecked(long writtenBytes, SendQueues queues) {
+        switch (delivery.onChecked(writtenBytes, queues, loop.nowUs())) {
+            case WAITING_STARTED -> context.closeLog().countDelayedClose();
+            case WAITING_ENDED -> activity.onResponsesDelivered();
+            case UNCHANGED -> {}
+        }
+    }
+
     /** Closes the connection unless a request arrives meanwhile; see {@link IdleConnectionCloser#requestClose}. */
     void closeIfIdle(IdleConnectionCloser.Reason reason) {
         idleCloser.requestClose(reason);
     }
 
-    void closeNow() {
+    /** Closes a timed-out connection on which all responses are delivered. */
+    void closeTimedOut() {
+        if (outputShutdownUs > 0) {
+            session.closeNow();
+        } else {
+            closeIfIdle(IdleConnectionCloser.Reason.IDLE);
+        }
+    }
+
+    /** Resets the connection of a client that has stopped to read. Called by any thread. */
+    void resetStalled() {
+        delivery.discardOnClose();
+        closeSlowReader();
+    }
+
+    private void closeSlowReader() {
         session.closeNow();
+        loop.post(context.closeLog()::countSlowReader);
     }
 
     /**
@@ -177,16 +228,16 @@
     /** Writes the response to a request that has been removed from the open requests. */
     void writeResponse(int id, ClientResponse response, int requestBodyLength) {
         context.memory().requestBytes().addAndGet(-requestBodyLength);
-        activity.onResponseSent();
-        write(RecordEncoder.encodeResponse(id, response));
+        byte[] bytes = RecordEncoder.encodeResponse(id, response);
+        activity.onResponseSent(bytes.length);
+        write(bytes);
     }
 
     private void write(byte[] bytes) {
         // Limits the memory that a client can take by sending requests without reading the responses.
         long unreadBytes = session.getScheduledWriteBytes();
         if (context.memory().isOverUnreadLimit(unreadBytes, context.acceptor().getScheduledWriteBytes())) {
-            session.closeNow();
-            loop.post(context.closeLog()::countSlowReader);
+            closeSlowReader();
             return;
         }
         session.write(IoBuffer.wrap(bytes));
--- a/src/main/java/petrelplank/fastcgi/FastCgiListener.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiListener.java
@@ -16,6 +16,7 @@
 public final class FastCgiListener {
     private final ListenerContext context;
     private final ConnectionReaper reaper;
+    private final DeliveryMonitor deliveryMonitor;
     private final Set<FastCgiConnection> connections = ConcurrentHashMap.newKeySet();
 
     /**
@@ -44,7 +45,8 @@
                 new ConnectionCloseLog(budget.capacity()),
                 new ListenerStatus(),
                 budget.capacity());
-        reaper = new ConnectionReaper(context, budget, connections);
+        deliveryMonitor = new DeliveryMonitor(loop);
+        reaper = new ConnectionReaper(context, budget, connections, deliveryMonitor);
         acceptor.setHandler(new ConnectionHandler());
         acceptor.onNearlyFull(reaper::evictIdleConnections);
     }
@@ -57,6 +59,7 @@
      */
     public void listen(InetSocketAddress address) throws IOException {
         context.acceptor().bind(address);
+        deliveryMonitor.setListeningPort(context.acceptor().getLocalAddress().getPort());
         context.loop().post(reaper::sweep);
     }
 
--- a/src/main/java/petrelplank/fastcgi/IdleConnectionCloser.java
+++ b/src/main/java/petrelplank/fastcgi/IdleConnectionCloser.java
@@ -32,7 +32,7 @@
     private final BoundedAcceptor acceptor;
     private final ListenerStatus listenerStatus;
     private final ConnectionActivity activity;
-    private final BooleanSupplier isUnused;
+    private final BooleanSupplier isSettled;
 
     private final AtomicReference<State> state = new AtomicReference<>(State.OPEN);
     private volatile Reason reason = Reason.IDLE;
@@ -51,15 +51,15 @@
      * @param session the connection
      * @param context the objects that all connections of the listener share
      * @param activity when the connection was last used
-     * @param isUnused whether the connection has no open request and no unsent bytes
+     * @param isSettled whether the connection has no open request and no undelivered response
      */
     IdleConnectionCloser(
-            IoSession session, ListenerContext context, ConnectionActivity activity, BooleanSupplier isUnused) {
+            IoSession session, ListenerContext context, ConnectionActivity activity, BooleanSupplier isSettled) {
         this.session = session;
         this.acceptor = context.acceptor();
         this.listenerStatus = context.status();
         this.activity = activity;
-        this.isUnused = isUnused;
+        this.isSettled = isSettled;
     }
 
     /** Whether the connection is open and no close has been requested. */
@@ -87,7 +87,8 @@
             session.closeNow();
             return;
         }
-        acceptor.closeIfIdle(session, () -> isUnused.getAsBoolean() && activity.isUnchangedSince(before), this::onKept);
+        acceptor.closeIfIdle(
+                session, () -> isSettled.getAsBoolean() && activity.isUnchangedSince(before), this::onKept);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/petrelplank/cli/LoopbackSlowClientTest.java
@@ -0,0 +1,141 @@
+package petrelplank.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import petrelplank.fastcgi.FastCgiClient;
+import petrelplank.transport.SendQueues;
+
+/**
+ * A client that reads slowly: its responses lie in the proxy's send buffer when the proxy would close its connection. A
+ * close at that time loses them, since the kernel discards the buffer as soon as the client sends anything more.
+ */
+@Timeout(LoopbackSlowClientTest.MAX_SECONDS)
+class LoopbackSlowClientTest extends LoopbackFixture {
+    /** Ends a test that has failed. */
+    static final int MAX_SECONDS = 30;
+
+    private static final int RECEIVE_BUFFER_BYTES = 32_768;
+    private static final int RESPONSES = 4;
+    private static final String BODY = "x".repeat(240_000);
+    /** In this time even a slow client would have read the responses from its receive buffer and become idle. */
+    private static final long IDLE_AFTER_READING_US = 20_000_000;
+
+    private FastCgiClient slowClient;
+
+    @BeforeEach
+    void connectSlowClient() throws IOException {
+        slowClient = new FastCgiClient(proxy.address(), RECEIVE_BUFFER_BYTES);
+    }
+
+    @AfterEach
+    void closeSlowClient() throws IOException {
+        slowClient.close();
+    }
+
+    /** Guards against an idle close that discards undelivered responses, and the next request with them. */
+    @Test
+    void idleCloseWaitsUntilResponsesAreDelivered() throws IOException, InterruptedException {
+        sendResponses();
+        clock.advance(IDLE_AFTER_READING_US);
+        awaitTwoIdleCloses();
+        slowClient.sendRequest(RESPONSES + 1, "/_health", NO_BODY);
+        assertResponsesRead();
+        assertThat(slowClient.readResponse()).startsWith((RESPONSES + 1) + " Status: ");
+    }
+
+    /** Guards against clients that never read and hold a descriptor and the send buffer for good. */
+    @Test
+    void clientThatNeverReadsIsClosedInTheEnd() throws IOException, InterruptedException {
+        sendResponses();
+        clock.advance(IDLE_AFTER_READING_US);
+        awaitTwoIdleCloses();
+        clock.advance(31_000_000);
+        while (isConnectionListed()) {
+            Thread.sleep(5);
+        }
+    }
+
+    /** Guards against connections that stay open although their client has read everything and is idle. */
+    @Test
+    void connectionIsClosedOnceItsResponsesAreDeliveredAndItIsIdle() throws IOException, InterruptedException {
+        sendResponses();
+        clock.advance(IDLE_AFTER_READING_US);
+        awaitTwoIdleCloses();
+        assertResponsesRead();
+        awaitTwoIdleCloses();
+        clock.advance(5_100_000);
+        assertThat(slowClient.readResponse()).isEqualTo("closed");
+    }
+
+    /** Guards against an eviction that discards undelivered responses of the least recently used connection. */
+    @Test
+    void evictionLeavesUndeliveredResponsesAlone() throws IOException, InterruptedException {
+        sendResponses();
+        List<FastCgiClient> others = new ArrayList<>();
+        for (int i = 0; i < SOCKETS; i++) {
+            others.add(new FastCgiClient(proxy.address()));
+            others.get(i).sendRequest(1, "/_health", NO_BODY);
+            assertThat(others.get(i).readResponse()).startsWith("1 Status: 200");
+        }
+        slowClient.sendRequest(RESPONSES + 1, "/_health", NO_BODY);
+        assertResponsesRead();
+        assertThat(slowClient.readResponse()).startsWith((RESPONSES + 1) + " Status: 200");
+        for (FastCgiClient other : others) {
+            other.close();
+        }
+    }
+
+    /** Has all responses written to the socket, and leaves them unread. */
+    private void sendResponses() throws IOException, InterruptedException {
+        for (int id = 1; id <= RESPONSES; id++) {
+            String requestId = "aaaaaaaaaaaaaaa" + id;
+            slowClient.sendRequest(id, "/invoke/media", NO_BODY, RequestHeaders.of(requestId));
+            cache.awaitLine().reply(requestId + " ACK tell=HIT " + BODY.length() + "\r\n" + BODY + "\r\n");
+        }
+        while (undeliveredBytes() + 2 * RECEIVE_BUFFER_BYTES < (long) RESPONSES * BODY.length()) {
+            Thread.sleep(5);
+        }
+    }
+
+    private void assertResponsesRead() throws IOException {
+        for (int i = 0; i < RESPONSES; i++) {
+            assertThat(slowClient.readResponse().endsWith("\r\n\r\n" + BODY)).isTrue();
+        }
+    }
+
+    /** Waits for two sweeps: another client becomes idle and is closed, one after the other. */
+    private void awaitTwoIdleCloses() throws IOException {
+        for (int i = 0; i < 2; i++) {
+            try (FastCgiClient other = new FastCgiClient(proxy.address())) {
+                other.sendRequest(1, "/_health", NO_BODY);
+                assertThat(other.readResponse()).startsWith("1 Status: ");
+                clock.advance(5_100_000);
+                assertThat(other.readResponse()).isEqualTo("closed");
+            }
+        }
+    }
+
+    private long undeliveredBytes() {
+        return SendQueues.read(proxy.address().getPort())
+                .unacknowledgedBytes(slowClientAddress())
+                .orElse(0);
+    }
+
+    private boolean isConnectionListed() {
+        return SendQueues.read(proxy.address().getPort())
+                .unacknowledgedBytes(slowClientAddress())
+                .isPresent();
+    }
+
+    private InetSocketAddress slowClientAddress() {
+        return new InetSocketAddress(proxy.address().getAddress(), slowClient.localPort());
+    }
+}
--- a/src/test/java/petrelplank/fastcgi/FastCgiClient.java
+++ b/src/test/java/petrelplank/fastcgi/FastCgiClient.java
@@ -33,10 +33,31 @@
 
     /** Connects to a proxy. */
     public FastCgiClient(InetSocketAddress address) throws IOException {
-        socket = new Socket(address.getAddress(), address.getPort());
+        this(address, new Socket());
+    }
+
+    /** Connects to a proxy with a receive buffer of this size, so that unread responses stay at the proxy. */
+    public FastCgiClient(InetSocketAddress address, int receiveBufferBytes) throws IOException {
+        this(address, withReceiveBuffer(receiveBufferBytes));
+    }
+
+    private FastCgiClient(InetSocketAddress address, Socket socket) throws IOException {
+        this.socket = socket;
+        socket.connect(address);
         socket.setSoTimeout(TIMEOUT_MS);
     }
 
+    private static Socket withReceiveBuffer(int bytes) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(bytes);
+        return socket;
+    }
+
+    /** Returns the local port of the connection. */
+    public int localPort() {
+        return socket.getLocalPort();
+    }
+
     /** Sends a complete request; {@code headers} alternates header names and values. */
     public void sendRequest(int id, String script, byte[] body, String... headers) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
