A shut-down client connection is closed once its answers have arrived, not after a second

Callers saw: after an answer without keep-connection, a refusal at BEGIN_REQUEST or malformed input, a slow client's remaining answers were reset when it sent anything more than a second after the proxy had shut down its side. By the code; no operator has reported it. Cause: the same as of the idle close: FastCgiConnection.LINGER_TIMEOUT_US ran from the shutdown, with answers still in the send queue.

--- a/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
@@ -48,7 +48,7 @@
 
     /** Whether all responses so far are known to have reached the client's system. */
     boolean isDelivered() {
-        return outputShutdownUs > 0 || delivery.isComplete();
+        return delivery.isComplete();
     }
 
     /**
--- a/src/test/java/petrelplank/cli/LoopbackSlowClientTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackSlowClientTest.java
@@ -93,6 +93,19 @@
         }
     }
 
+    /** Guards against the time limit on a shut-down connection, which discarded responses that came before the end. */
+    @Test
+    void closeAfterResponsesWaitsUntilTheyAreDelivered() throws IOException, InterruptedException {
+        sendResponses();
+        slowClient.sendRequestWithoutKeepConnection(RESPONSES + 1, "/_health");
+        clock.advance(1_100_000);
+        awaitTwoIdleCloses();
+        slowClient.abort(RESPONSES + 2);
+        assertResponsesRead();
+        assertThat(slowClient.readResponse()).startsWith((RESPONSES + 1) + " Status: 200");
+        assertThat(slowClient.readResponse()).isEqualTo("closed");
+    }
+
     /** Has all responses written to the socket, and leaves them unread. */
     private void sendResponses() throws IOException, InterruptedException {
         for (int id = 1; id <= RESPONSES; id++) {
