A drain ends only once all answers have reached their clients, or its time is over

Callers saw: a client that reads slowly while its proxy restarts lost written answers when it sent anything after the process had ended; until then the kernel still delivered them. By the code; no operator has reported it. Cause: the same as of the idle close: Shutdown.closeOnceAnswered looked at MINA's queue alone, and closed over full send queues. Change: it also waits for acknowledged answers, up to the time it had before (50 ms behind the last answer, 150 ms before SIGKILL). What is undelivered then is left to the kernel: the platform kills the process anyway. With no slow reader the wait is one look at the kernel's list.

--- a/src/main/java/petrelplank/cli/Shutdown.java
+++ b/src/main/java/petrelplank/cli/Shutdown.java
@@ -90,12 +90,14 @@
         return (flushByUs - startedUs + 2 * FLUSH_TIMEOUT_US) / US_PER_MS;
     }
 
-    /** Waits until the I/O thread has read all data that arrived in time and all responses are sent, then closes. */
+    /**
+     * Waits until the I/O thread has read all data that arrived in time and all responses have reached their clients'
+     * systems, then closes.
+     */
     private void closeOnceAnswered(long closeByUs, long readAtSelection, Runnable onStopped) {
         boolean hasUnreadData = transport.processor().selections() < readAtSelection;
-        boolean hasPendingWork = hasUnreadData
-                || proxy.hasPendingRequests()
-                || transport.acceptor().getScheduledWriteBytes() > 0;
+        boolean hasPendingWork =
+                hasUnreadData || proxy.hasPendingRequests() || clientListener.hasUndeliveredResponses();
         if (hasPendingWork && loop.nowUs() < closeByUs) {
             loop.schedule(
                     loop.nowUs() + POLL_INTERVAL_US, () -> closeOnceAnswered(closeByUs, readAtSelection, onStopped));
--- a/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiConnection.java
@@ -42,7 +42,7 @@
     }
 
     /** Whether the connection has no open requests and no unsent bytes. */
-    boolean isUnused() {
+    private boolean isUnused() {
         return openRequests.isEmpty() && session.getScheduledWriteBytes() == 0;
     }
 
--- a/src/main/java/petrelplank/fastcgi/FastCgiListener.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiListener.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -79,11 +80,25 @@
      */
     public int closeUnusedConnections() {
         connections.stream()
-                .filter(FastCgiConnection::isUnused)
+                .filter(FastCgiConnection::isSettled)
                 .forEach(connection -> connection.closeIfIdle(IdleConnectionCloser.Reason.IDLE));
         return connections.size();
     }
 
+    /**
+     * Whether responses are known or assumed to lie in send buffers; also starts to check whether they still do. A
+     * process that ends would leave them to the kernel, which discards them if the client sends anything more.
+     *
+     * @return false once all responses are known to have reached their clients' systems
+     */
+    public boolean hasUndeliveredResponses() {
+        List<FastCgiConnection> undelivered = connections.stream()
+                .filter(connection -> !connection.isDelivered())
+                .toList();
+        deliveryMonitor.check(undelivered);
+        return !undelivered.isEmpty();
+    }
+
     /** Stops accepting connections; those that are open stay open. */
     public void stopListening() {
         context.acceptor().setCloseOnDeactivation(false);
--- a/src/test/java/petrelplank/cli/LoopbackSlowClientTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackSlowClientTest.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -106,6 +108,20 @@
         assertThat(slowClient.readResponse()).isEqualTo("closed");
     }
 
+    /** Guards against a proxy that ends while it could still deliver responses: what it leaves behind may be lost. */
+    @Test
+    void drainWaitsUntilResponsesAreDelivered() throws IOException, InterruptedException {
+        sendResponses();
+        CountDownLatch stopped = new CountDownLatch(1);
+        proxy.drain(stopped::countDown);
+        clock.advance(1_000_000);
+        // Too short a wait would only make this test weaker.
+        assertThat(stopped.await(300, TimeUnit.MILLISECONDS)).isFalse();
+        assertResponsesRead();
+        assertThat(slowClient.readResponse()).isEqualTo("closed");
+        stopped.await();
+    }
+
     /** Has all responses written to the socket, and leaves them unread. */
     private void sendResponses() throws IOException, InterruptedException {
         for (int id = 1; id <= RESPONSES; id++) {
