A drain stops listening only once no connection waits to be accepted

Callers saw: requests on new connections reset at the end of a restart, where the proxy was short of descriptors or had not run for a while: their connections waited in the kernel's accept queue as the listening socket was closed. Found while looking for places that let a connection go; no operator has reported it. Cause: Shutdown scheduled stopListening 0.6 s after SIGTERM, whatever waited; MINA accepts one connection a turn, and closes the socket behind the next turn; the kernel resets what waits. Change: it stops listening after a selection of the accepting thread that found nothing waiting, at the latest when the last answers are due; the drain doesn't end before. Test: LoopbackDrainTest.connectionThatWaitsAsTheDrainStopsListeningIsAnswered holds the I/O thread, so that the budget is full and two connections wait over the end of listening.

--- a/src/main/java/petrelplank/cli/Shutdown.java
+++ b/src/main/java/petrelplank/cli/Shutdown.java
@@ -41,6 +41,7 @@
     private final ProxyTransport transport;
     private final Readiness readiness;
     private final long answerTimeLimitUs;
+    private boolean listening = true;
 
     Shutdown(
             EventLoop loop,
@@ -81,7 +82,10 @@
                     + clientListener.connectionCounts() + "; " + proxy.upstreamCounts());
             readiness.drainStarted();
             proxy.startDrain(answerByUs);
-            loop.schedule(startedUs + ACCEPT_CONNECTIONS_US, clientListener::stopListening);
+            loop.schedule(
+                    startedUs + ACCEPT_CONNECTIONS_US,
+                    () -> stopListeningOnceAllAccepted(
+                            answerByUs, transport.acceptor().emptySelections()));
             loop.schedule(
                     acceptUntilUs,
                     () -> closeOnceAnswered(
@@ -90,6 +94,20 @@
         return (flushByUs - startedUs + 2 * FLUSH_TIMEOUT_US) / US_PER_MS;
     }
 
+    /**
+     * Stops listening after the accepting thread has found no waiting connection: while descriptors are short or the
+     * process does not run, connections wait in the kernel, with requests on them, and would be reset.
+     */
+    private void stopListeningOnceAllAccepted(long stopByUs, long emptySelections) {
+        if (transport.acceptor().emptySelections() == emptySelections && loop.nowUs() < stopByUs) {
+            loop.schedule(
+                    loop.nowUs() + POLL_INTERVAL_US, () -> stopListeningOnceAllAccepted(stopByUs, emptySelections));
+            return;
+        }
+        clientListener.stopListening();
+        listening = false;
+    }
+
     /**
      * Waits until the I/O thread has read all data that arrived in time and all responses have reached their clients'
      * systems, then closes.
@@ -97,7 +115,7 @@
     private void closeOnceAnswered(long closeByUs, long readAtSelection, Runnable onStopped) {
         boolean hasUnreadData = transport.processor().selections() < readAtSelection;
         boolean hasPendingWork =
-                hasUnreadData || proxy.hasPendingRequests() || clientListener.hasUndeliveredResponses();
+                listening || hasUnreadData || proxy.hasPendingRequests() || clientListener.hasUndeliveredResponses();
         if (hasPendingWork && loop.nowUs() < closeByUs) {
             loop.schedule(
                     loop.nowUs() + POLL_INTERVAL_US, () -> closeOnceAnswered(closeByUs, readAtSelection, onStopped));
--- a/src/main/java/petrelplank/transport/BoundedAcceptor.java
+++ b/src/main/java/petrelplank/transport/BoundedAcceptor.java
@@ -22,6 +22,8 @@
     private final SharedProcessor processor;
     private final DescriptorBudget budget;
     private volatile Runnable onNearlyFull = () -> {};
+    /** Written by the accepting thread alone. */
+    private volatile long emptySelections;
 
     /**
      * Creates an acceptor whose sockets hold permits of a budget.
@@ -65,6 +67,26 @@
         }
     }
 
+    @Override
+    protected int select() throws Exception {
+        int readyCount = super.select();
+        if (readyCount == 0) {
+            emptySelections++;
+        }
+        return readyCount;
+    }
+
+    /**
+     * Number of selections of the accepting thread that found no connection waiting in the kernel's accept queue. A
+     * listening socket that is closed resets those that wait. Wakes the accepting thread to make one more selection.
+     *
+     * @return empty selections so far
+     */
+    public long emptySelections() {
+        wakeup();
+        return emptySelections;
+    }
+
     /**
      * Number of iterations of the I/O loop.
      *
--- a/src/test/java/petrelplank/cli/LoopbackDrainTest.java
+++ b/src/test/java/petrelplank/cli/LoopbackDrainTest.java
@@ -5,14 +5,19 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import petrelplank.fastcgi.FastCgiClient;
 import petrelplank.record.EventSink;
 import petrelplank.settings.Configuration;
 import petrelplank.upstream.FakeServer;
 
 /** The graceful shutdown of a proxy, on loopback sockets. */
 class LoopbackDrainTest extends LoopbackFixture {
+    private static final int CLIENTS_BEYOND_BUDGET = SOCKETS * 2 / 5 + 2;
+
     /** Deadlines differ by site, and SIGKILL comes by the longest: at most 3 s, and 0.7 s more. */
     @Test
     void drainEndsBeforeSigkillForAnyLongestDeadline() throws IOException {
@@ -65,4 +70,27 @@
         stopped.await();
         assertTrue(parent.hasNoQueuedLines() && origin.hasNoQueuedLines() && cache.hasNoQueuedLines());
     }
+
+    /** Guards against a drain that closes the listening socket, and resets the connections that wait to be accepted. */
+    @Test
+    void connectionThatWaitsAsTheDrainStopsListeningIsAnswered() throws IOException, InterruptedException {
+        List<FastCgiClient> clients = new ArrayList<>();
+        clock.holdIoThread();
+        try {
+            for (int i = 0; i < CLIENTS_BEYOND_BUDGET; i++) {
+                clients.add(new FastCgiClient(proxy.address()));
+                clients.get(i).sendRequest(1, "/_health", NO_BODY);
+            }
+            proxy.drain(() -> {});
+            clock.advance(700_000);
+            // Longer than the drain takes to stop listening; too short a wait would only make this test weaker.
+            Thread.sleep(300);
+        } finally {
+            clock.releaseIoThread();
+        }
+        for (FastCgiClient waiting : clients) {
+            assertTrue(waiting.readResponse().startsWith("1 Status: 503"));
+            waiting.close();
+        }
+    }
 }
