The check of deliveries outlives lists that can't be read, and machines with many sockets

One failed read of the kernel's list (no descriptor free, just when connections are to make room) turned the check off for good, and written counted as delivered from then on: IOException and 'no such table' were one. A read that failed midway threw an unchecked exception, and where each did, connections with answers on them could be held for good. Now a failed read is made again; after 20 in a row written counts as delivered until one succeeds, with a line that says so. Nothing is turned off for good any more. 2. Where the kernel does not list the port, one line says so; the on-call engineer could not know. 3. The pause after a check is nine times its length at least: a list of a million sockets would have taken a whole core. 4. The thread starts with the listener, since one that can't be started later would have left the check marked as running for ever.

--- a/src/main/java/petrelplank/cli/ProxyServer.java
+++ b/src/main/java/petrelplank/cli/ProxyServer.java
@@ -139,6 +139,7 @@
     /** Stops the event loop and closes all sockets, without a drain. */
     void close() {
         loop.stop();
+        clientListener.close();
         transport.close();
     }
 
--- a/src/main/java/petrelplank/fastcgi/DeliveryMonitor.java
+++ b/src/main/java/petrelplank/fastcgi/DeliveryMonitor.java
@@ -1,12 +1,13 @@
 package petrelplank.fastcgi;
 
+import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
-import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Logger;
 import petrelplank.proxy.EventLoop;
 import petrelplank.transport.SendQueues;
 
@@ -15,24 +16,32 @@
  * with many sockets takes long to read. One check runs at a time. Thread-safe.
  */
 final class DeliveryMonitor {
-    private static final long MIN_CHECK_INTERVAL_NS = 50_000_000;
-    private static final long THREAD_KEEP_ALIVE_S = 5;
+    private static final Logger LOG = Logger.getLogger(DeliveryMonitor.class.getName());
+    private static final long MIN_PAUSE_NS = 50_000_000;
+    /** The pause after a check is at least this multiple of its length, which bounds the processor time of checks. */
+    private static final int PAUSE_TO_CHECK_RATIO = 9;
+    /** Failed reads in a row after which the kernel's list counts as empty. Descriptors may be short for a while. */
+    private static final int MAX_FAILED_READS = 20;
 
     /** A connection to check, and the bytes that had been written on it before the check. */
     private record Sample(FastCgiConnection connection, long writtenBytes) {}
 
     private final EventLoop loop;
-    private final Executor executor;
+    private final ThreadPoolExecutor executor;
     private final AtomicBoolean checking = new AtomicBoolean();
     private volatile int listeningPort;
-    private volatile long lastCheckNs = System.nanoTime() - MIN_CHECK_INTERVAL_NS;
-    /** Whether the kernel lists the sockets of this process; not asked again once it has not. */
-    private volatile boolean kernelListsSockets = true;
+    private volatile long nextCheckNs = System.nanoTime();
+    /** Confined to the monitor's thread, as is {@link #missingPortLogged}. */
+    private int failedReads;
+
+    private boolean missingPortLogged;
 
     DeliveryMonitor(EventLoop loop) {
         this.loop = loop;
         this.executor = new ThreadPoolExecutor(
-                0, 1, THREAD_KEEP_ALIVE_S, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), DeliveryMonitor::newThread);
+                1, 1, 0, TimeUnit.SECONDS, new LinkedBlockingQueue<>(), DeliveryMonitor::newThread);
+        // Started early: a process that runs short of threads later could not check any more.
+        executor.prestartCoreThread();
     }
 
     private static Thread newThread(Runnable task) {
@@ -46,31 +55,59 @@
         listeningPort = port;
     }
 
+    /** Ends the monitor's thread; no checks are made from then on. */
+    void close() {
+        checking.set(true);
+        executor.shutdownNow();
+    }
+
     /**
      * Starts to check connections, unless another check is running or has just ended. The connections learn the results
      * in the event thread.
      */
     void check(Collection<FastCgiConnection> connections) {
-        if (connections.isEmpty()
-                || System.nanoTime() - lastCheckNs < MIN_CHECK_INTERVAL_NS
-                || !checking.compareAndSet(false, true)) {
+        if (connections.isEmpty() || System.nanoTime() - nextCheckNs < 0 || !checking.compareAndSet(false, true)) {
             return;
         }
-        lastCheckNs = System.nanoTime();
         List<Sample> samples = connections.stream()
                 .map(connection -> new Sample(connection, connection.delivery().writtenBytes()))
                 .toList();
-        executor.execute(() -> readSendQueues(samples));
+        executor.execute(() -> check(samples));
     }
 
-    private void readSendQueues(List<Sample> samples) {
+    private void check(List<Sample> samples) {
+        long startNs = System.nanoTime();
         try {
-            SendQueues queues = kernelListsSockets ? SendQueues.read(listeningPort) : SendQueues.UNAVAILABLE;
-            kernelListsSockets = queues.isAvailable();
-            loop.post(
-                    () -> samples.forEach(sample -> sample.connection.onDeliveryChecked(sample.writtenBytes, queues)));
+            report(samples, SendQueues.read(listeningPort));
+            failedReads = 0;
+        } catch (IOException e) {
+            onFailedRead(samples, e);
         } finally {
+            long endNs = System.nanoTime();
+            nextCheckNs = endNs + Math.max(MIN_PAUSE_NS, PAUSE_TO_CHECK_RATIO * (endNs - startNs));
             checking.set(false);
         }
     }
+
+    private void report(List<Sample> samples, SendQueues queues) {
+        if (!queues.isPortListed() && !missingPortLogged) {
+            missingPortLogged = true;
+            LOG.info("the kernel's list of connections lacks port " + listeningPort
+                    + ": responses count as delivered once they are written");
+        }
+        loop.post(() -> samples.forEach(sample -> sample.connection.onDeliveryChecked(sample.writtenBytes, queues)));
+    }
+
+    private void onFailedRead(List<Sample> samples, IOException failure) {
+        failedReads++;
+        if (failedReads < MAX_FAILED_READS) {
+            return;
+        }
+        if (failedReads == MAX_FAILED_READS) {
+            LOG.warning("the kernel's list of connections could not be read " + failedReads + " times in a row ("
+                    + failure + "): responses count as delivered once they are written, until it can be read");
+        }
+        loop.post(() -> samples.forEach(
+                sample -> sample.connection.onDeliveryChecked(sample.writtenBytes, SendQueues.empty())));
+    }
 }
--- a/src/main/java/petrelplank/fastcgi/FastCgiListener.java
+++ b/src/main/java/petrelplank/fastcgi/FastCgiListener.java
@@ -103,6 +103,11 @@
         context.acceptor().unbind();
     }
 
+    /** Ends the thread that checks connections; the sockets belong to the acceptor. */
+    public void close() {
+        deliveryMonitor.close();
+    }
+
     /**
      * Returns the number of open client connections, and of those that the proxy closed, by reason.
      *
--- a/src/main/java/petrelplank/fastcgi/ResponseDelivery.java
+++ b/src/main/java/petrelplank/fastcgi/ResponseDelivery.java
@@ -56,6 +56,11 @@
         return session.getScheduledWriteBytes() + Math.max(0, session.getWrittenBytes() - deliveredBytes);
     }
 
+    /** Whether the last check has found undelivered bytes. Event thread only. */
+    boolean isWaiting() {
+        return waiting;
+    }
+
     /** Bytes that were written to the socket so far. */
     long writtenBytes() {
         return session.getWrittenBytes();
@@ -89,7 +94,7 @@
     CheckResult onChecked(long writtenBytes, SendQueues queues, long nowUs) {
         OptionalLong unacknowledgedBytes = queues.unacknowledgedBytes(peer);
         missedChecks = unacknowledgedBytes.isPresent() ? 0 : missedChecks + 1;
-        if (queues.isAvailable() && missedChecks > 0 && missedChecks < MAX_MISSED_CHECKS) {
+        if (missedChecks > 0 && missedChecks < MAX_MISSED_CHECKS) {
             return CheckResult.UNCHANGED;
         }
         recordProgress(writtenBytes - unacknowledgedBytes.orElse(0), nowUs);
--- a/src/main/java/petrelplank/transport/SendQueues.java
+++ b/src/main/java/petrelplank/transport/SendQueues.java
@@ -7,6 +7,7 @@
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
@@ -18,9 +19,6 @@
  * no other way to learn how much of what was written to a socket the peer has not acknowledged yet.
  */
 public final class SendQueues {
-    /** Tells nothing of any connection. */
-    public static final SendQueues UNAVAILABLE = new SendQueues();
-
     private static final List<Path> TABLES = List.of(Path.of("/proc/self/net/tcp"), Path.of("/proc/self/net/tcp6"));
     private static final int LOCAL_COLUMN = 1;
     private static final int PEER_COLUMN = 2;
@@ -31,7 +29,7 @@
     private static final String IPV4_MAPPED_PREFIX = hex(new byte[] {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, -1, -1});
 
     private final Map<String, Long> bytesByPeer = new HashMap<>();
-    private boolean available;
+    private boolean portListed;
 
     private SendQueues() {}
 
@@ -39,27 +37,44 @@
      * Reads the kernel's tables. They list the sockets of the whole machine, so that this may take some milliseconds.
      *
      * @param localPort the local port of the connections
-     * @return the send queues; not available if the system has no such tables or does not list the port in them
+     * @return the send queues; empty if the system has no such tables or does not list the port in them
+     * @throws IOException if a table exists and cannot be read, for example for want of a file descriptor
      */
-    public static SendQueues read(int localPort) {
+    public static SendQueues read(int localPort) throws IOException {
+        return read(TABLES, localPort);
+    }
+
+    static SendQueues read(List<Path> tables, int localPort) throws IOException {
         SendQueues queues = new SendQueues();
-        String portSuffix = portSuffix(localPort);
-        for (Path table : TABLES) {
+        for (Path table : tables) {
             try (BufferedReader lines = Files.newBufferedReader(table, StandardCharsets.ISO_8859_1)) {
-                lines.lines().filter(line -> line.contains(portSuffix)).forEach(line -> queues.add(line, portSuffix));
-            } catch (IOException e) {
+                queues.addAll(lines, portSuffix(localPort));
+            } catch (NoSuchFileException e) {
                 // This system does not list such sockets.
             }
         }
         return queues;
     }
 
+    /** Returns the queues of no connection, as on a system that lists none. */
+    public static SendQueues empty() {
+        return new SendQueues();
+    }
+
+    private void addAll(BufferedReader lines, String portSuffix) throws IOException {
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            if (line.contains(portSuffix)) {
+                add(line, portSuffix);
+            }
+        }
+    }
+
     private void add(String line, String portSuffix) {
         String[] columns = line.trim().split("\\s+");
         if (columns.length < MIN_COLUMNS || !columns[LOCAL_COLUMN].endsWith(portSuffix)) {
             return;
         }
-        available = true;
+        portListed = true;
         String peer = columns[PEER_COLUMN];
         String key = peer.startsWith(IPV4_MAPPED_PREFIX) ? peer.substring(IPV4_MAPPED_PREFIX.length()) : peer;
         String sendQueue = columns[QUEUES_COLUMN].split(":")[0];
@@ -71,8 +86,8 @@
      *
      * @return false if nothing is known of any connection
      */
-    public boolean isAvailable() {
-        return available;
+    public boolean isPortListed() {
+        return portListed;
     }
 
     /**
