--- a/review/src-2/Lab.java
+++ b/review/src-2/Lab.java
@@ -285,6 +285,7 @@
         volatile int bytesPerSecond;
 
         final AtomicInteger follows = new AtomicInteger();
+        private final List<Socket> followers = new ArrayList<>();
 
         Coordinator(Lab lab, String firstEvent) throws IOException {
             this.lab = lab;
@@ -306,6 +307,16 @@
             return "127.0.0.1:" + socket.getLocalPort();
         }
 
+        /** The coordinator is gone from this address: connections end, and new ones are refused. */
+        void close() throws IOException {
+            socket.close();
+            synchronized (followers) {
+                for (Socket follower : followers) {
+                    follower.close();
+                }
+            }
+        }
+
         void add(String event) {
             synchronized (events) {
                 events.add(event);
@@ -316,6 +327,9 @@
         private void serve(Socket follower) {
             int written = 0;
             String what = "";
+            synchronized (followers) {
+                followers.add(follower);
+            }
             try (follower) {
                 follower.setTcpNoDelay(true);
                 String line = readLine(follower.getInputStream());
