--- a/review/src-2/ConfigurationsCase.java
+++ b/review/src-2/ConfigurationsCase.java
@@ -87,10 +87,14 @@
                 String[] lines = front.log().split("now following the discovery service at /");
                 String last = lines[lines.length - 1].split(" ")[0];
                 if (!last.equals(current.address())) {
-                    lab.note("the front with pid " + front.process.pid() + " follows " + last);
+                    lab.note("the front with pid " + front.process.pid() + " says that it follows " + last);
                     stale = true;
                 }
             }
+            if (current.follows.get() < FRONTS) {
+                lab.note("only " + current.follows + " of " + FRONTS + " fronts have sent the coordinator a line");
+                stale = true;
+            }
         }
         leavingSinceMs.set(Lab.now());
         current.add(Lab.listEvent(
