--- a/review/src-2/KeyWindowCase.java
+++ b/review/src-2/KeyWindowCase.java
@@ -126,6 +126,14 @@
                     + (answer == null ? "no answer" : answer.text()) + "; arrived " + key.arrivalsMs.size() + " times:"
                     + text + "; run " + key.runsMs.size() + " times");
         }
+        // Connections to the parent are made for second attempts alone; all of them count as late here.
+        int lateConnections = Lab.TROUBLE ? parent.connections.get() : 0;
+        int allConnections = parent.connections.get() + origin.connections.get();
+        lab.note("connections to cache nodes: " + allConnections + ", of which came up late: " + lateConnections
+                + " at most");
+        if (lateConnections * 3 > allConnections) {
+            throw new Lab.CannotRun("more than a third of the connections came up late");
+        }
         lab.note(names.size() + " writes, run more than once: " + broken);
         proxy.noteLog();
         return broken == 0;
--- a/review/src-2/Lab.java
+++ b/review/src-2/Lab.java
@@ -438,6 +438,8 @@
         private final ServerSocket socket;
         private final Handler handler;
         final AtomicInteger commands = new AtomicInteger();
+        /** Connections of the proxy on which at least one byte has come. */
+        final AtomicInteger connections = new AtomicInteger();
         /** While set, connections are not accepted. */
         private final Object acceptLock = new Object();
         private boolean late;
@@ -509,12 +511,15 @@
                 connection.setTcpNoDelay(true);
                 Connection answers = new Connection(connection);
                 InputStream in = new java.io.BufferedInputStream(connection.getInputStream(), 65_536);
+                boolean used = false;
                 while (true) {
                     in.mark(1);
                     if (in.read() < 0) {
                         return;
                     }
                     in.reset();
+                    connections.addAndGet(used ? 0 : 1);
+                    used = true;
                     final long firstByteMs = now();
                     String[] words = readLine(in).split(" ");
                     if (words[0].equals("fetch")) {
--- a/review/src-2/LateDrainCase.java
+++ b/review/src-2/LateDrainCase.java
@@ -15,6 +15,10 @@
     private static final long TOLD_WITHIN_MS = 200;
 
     private static final int REQUESTS = 8;
+    /** Writes before, each on a connection of its own to the origin that comes up at once. */
+    private static final int WRITES = 16;
+    /** At most one connection in this many comes up late. */
+    private static final int LATE_ONE_IN = 3;
 
     public static void main(String[] args) {
         Lab.main(args, LateDrainCase::run);
@@ -48,6 +52,17 @@
         proxy.awaitReady();
 
         Lab.Client client = new Lab.Client(proxy.address);
+        for (int i = 0; i < WRITES; i++) {
+            Lab.Answer answer = Lab.await(
+                    client.send(
+                            Lab.Client.params("stock-move", Lab.newRequestId(), String.format("%016x", i), 0, 3, 3000),
+                            "move 3 crates".getBytes()),
+                    4000);
+            if (answer == null || !answer.served()) {
+                throw new Lab.CannotRun("a write before the disruption was not served");
+            }
+        }
+        lab.note(WRITES + " writes sent and served, by the origin");
         if (Lab.TROUBLE) {
             leaving.connectionsComeUpLate();
         }
@@ -71,6 +86,12 @@
             Lab.Answer answer = Lab.await(future, 8000);
             lab.note("answer: " + (answer == null ? "none" : answer.text()));
         }
+        int lateConnections = Lab.TROUBLE ? leaving.connections.get() : 0;
+        int allConnections = leaving.connections.get() + origin.connections.get();
+        lab.note("connections to cache nodes: " + allConnections + ", of which came up late: " + lateConnections);
+        if (lateConnections * LATE_ONE_IN > allConnections) {
+            throw new Lab.CannotRun("more than a third of the connections came up late");
+        }
         lab.note("requests that c-1 was sent too late: " + late);
         proxy.noteLog();
         return late.get() == 0;
