--- a/review/src-2/BodiesCase.java
+++ b/review/src-2/BodiesCase.java
@@ -5,11 +5,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Bad clients send much at once and go: each begins 32 writes on its connection, sends their bodies side by side, and
- * leaves before it has ended them. After them, one sound client sends reads.
+ * Bad clients send much at once and go: each begins 32 writes on its connection, sends their bodies side by side once
+ * all have begun, and leaves before it has ended them. After them, one sound client sends reads.
  */
 final class BodiesCase {
     private static final int BAD_CLIENTS = 100;
@@ -52,6 +54,7 @@
 
     private static void sendMuchAndGo(Lab lab, Lab.Proxy proxy) throws InterruptedException {
         AtomicInteger sentAll = new AtomicInteger();
+        CountDownLatch begun = new CountDownLatch(BAD_CLIENTS);
         List<Thread> clients = new ArrayList<>();
         for (int i = 0; i < BAD_CLIENTS; i++) {
             int number = i;
@@ -64,6 +67,9 @@
                         begin(begin, id, number);
                     }
                     out.write(begin.toByteArray());
+                    // The bodies follow once all have begun.
+                    begun.countDown();
+                    begun.await(1, TimeUnit.SECONDS);
                     for (int sent = 0; sent < BODY_BYTES; sent += RECORD_BYTES) {
                         ByteArrayOutputStream piece = new ByteArrayOutputStream();
                         for (int id = 1; id <= OPEN_REQUESTS; id++) {
@@ -73,7 +79,7 @@
                     }
                     sentAll.incrementAndGet();
                     Lab.sleep(1_000);
-                } catch (IOException e) {
+                } catch (IOException | InterruptedException e) {
                     // closed by the proxy, which it may do
                 }
             }));
